Serve callers through balancers and sidecars over real sockets

Cause: the project is empty; the whole path comes first, thin. Change: balancers forward QUIC datagrams by encrypted connection IDs, sidecars end HTTP/3 and run requests on their upstream or a sibling's, services are applied through a balancer into the store stand-in, and a demo runs both deployments in one process.

--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,263 @@
+package balancer
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"greengagedyke/control"
+	"greengagedyke/fabric"
+	"greengagedyke/keys"
+	"greengagedyke/member"
+	"greengagedyke/operator"
+	"greengagedyke/platform"
+	"greengagedyke/service"
+	"greengagedyke/session"
+)
+
+const (
+	// updateInterval is the time between looks at members that fell silent.
+	updateInterval = 250 * time.Millisecond
+	// storePause is the time between attempts to read a store that fails.
+	storePause = time.Second
+	// leaveNotice is how long a balancer that ends goes on to forward, so that
+	// sidecars stop to answer through it.
+	leaveNotice = 1500 * time.Millisecond
+)
+
+// Balancer is a running balancer.
+type Balancer struct {
+	cfg       *Settings
+	log       *slog.Logger
+	node      *control.Node
+	forwarder *fabric.Forwarder
+	keys      keys.Set
+	applied   *service.Configuration
+	tables    map[string]cachedTable
+	// failed is set while a binding could not be put in force.
+	failed bool
+}
+
+type cachedTable struct {
+	candidates service.Candidates
+	table      *service.Table
+}
+
+// Run runs a balancer. When ctx ends, the balancer leaves: it forwards until the
+// sidecars answer through others, or until abort ends.
+func Run(ctx, abort context.Context, log *slog.Logger, cfg *Settings, registry metrics.Registry) error {
+	b := &Balancer{cfg: cfg, log: log.With("identity", cfg.Identity), tables: map[string]cachedTable{}}
+	return errors.Wrap(b.run(ctx, abort, registry), "balancer.Run")
+}
+
+func (b *Balancer) run(ctx, abort context.Context, registry metrics.Registry) error {
+	credentials, err := session.NewCredentials(b.cfg.Secret)
+	if err != nil {
+		return err
+	}
+	b.keys, err = keys.New(b.cfg.Secret, &service.Configuration{})
+	if err != nil {
+		return err
+	}
+	forwarder, closeForwarder, err := fabric.New(b.log, fabric.NewCounters(registry), b.cfg.Tunnel, b.keys.Sealer)
+	if err != nil {
+		return err
+	}
+	defer closeForwarder()
+	b.forwarder = forwarder
+	b.node = control.NewNode(b.log, b.record())
+	control, err := net.Listen("tcp4", b.cfg.Control.String())
+	if err != nil {
+		return err
+	}
+	client, closeClient := platform.New(b.cfg.Store, registry)
+	defer closeClient()
+	store := platform.NewConfigurations(client)
+	api, err := net.Listen("tcp4", b.cfg.API.String())
+	if err != nil {
+		control.Close()
+		return err
+	}
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	defer b.start(life, end, func(ctx context.Context) { session.Serve(ctx, b.log, control, credentials, b.node.Handle) })()
+	defer b.start(life, end, func(ctx context.Context) { b.watchStore(ctx, store) })()
+	defer b.start(life, end, b.follow)()
+	defer b.start(life, end, func(ctx context.Context) { b.serveAPI(ctx, api, operator.New(b.log, store, b.node, b.cfg.APIToken)) })()
+	defer b.start(life, end, b.announce(credentials))()
+	b.log.Info("balancer-started", "tunnel", forwarder.LocalAddr().String())
+	<-ctx.Done()
+	b.leave(abort)
+	return nil
+}
+
+// start runs f in a goroutine and returns a function that ends it and waits.
+func (*Balancer) start(ctx context.Context, end func(), f func(context.Context)) func() {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f(ctx)
+	}()
+	return func() {
+		end()
+		<-done
+	}
+}
+
+func (b *Balancer) record() member.Record {
+	return member.Record{
+		Role:          member.RoleBalancer,
+		Identity:      b.cfg.Identity,
+		Tunnel:        b.cfg.Tunnel,
+		Control:       b.cfg.Control,
+		FailureDomain: b.cfg.FailureDomain,
+		State:         member.StateReady,
+		Incarnation:   uint64(time.Now().UnixNano()),
+	}
+}
+
+func (b *Balancer) announce(credentials *session.Credentials) func(context.Context) {
+	announcer := control.NewAnnouncer(b.log, b.node, credentials, b.cfg.Peers)
+	return func(ctx context.Context) {
+		done := make(chan struct{})
+		announcer.Run(ctx, done)
+	}
+}
+
+// leave tells sidecars to answer through other balancers, and forwards until they do.
+func (b *Balancer) leave(abort context.Context) {
+	b.log.Info("balancer-leaving")
+	b.node.UpdateSelf(func(r *member.Record) { r.State = member.StateLeaving })
+	pause(abort, leaveNotice)
+	b.node.UpdateSelf(func(r *member.Record) { r.State = member.StateGone })
+}
+
+func (b *Balancer) serveAPI(ctx context.Context, ln net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		b.log.Error("api-failed", "error", err.Error())
+	}
+}
+
+// watchStore takes in every configuration that the store holds, until ctx ends.
+func (b *Balancer) watchStore(ctx context.Context, store *platform.Configurations) {
+	for ctx.Err() == nil {
+		cfg, err := store.Watch(ctx, b.node.Configuration().Revision)
+		switch {
+		case err == nil:
+			b.adopt(cfg)
+		case errors.Is(err, platform.ErrUnchanged):
+		default:
+			b.log.Debug("store-unavailable", "error", err.Error())
+			pause(ctx, storePause)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (b *Balancer) adopt(cfg *service.Configuration) {
+	raw, err := json.Marshal(cfg)
+	if err != nil {
+		b.log.Error("configuration-encode-failed", "error", err.Error())
+		return
+	}
+	if _, err := b.node.Adopt(raw); err != nil {
+		b.log.Error("configuration-refused", "error", err.Error())
+	}
+}
+
+// follow puts changes of configuration and membership in force until ctx ends.
+func (b *Balancer) follow(ctx context.Context) {
+	t := time.NewTicker(updateInterval)
+	defer t.Stop()
+	for {
+		changed := b.node.Changed()
+		b.apply()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-t.C:
+		}
+	}
+}
+
+func (b *Balancer) apply() {
+	cfg := b.node.Configuration()
+	fresh := cfg != b.applied
+	if fresh {
+		set, err := keys.New(b.cfg.Secret, cfg)
+		if err != nil {
+			b.log.Error("keys-refused", "revision", cfg.Revision, "error", err.Error())
+			return
+		}
+		b.keys = set
+		b.applied = cfg
+	}
+	changed := b.failed
+	var bindings fabric.Bindings
+	for i := range cfg.Services {
+		svc := &cfg.Services[i]
+		table, renewed := b.table(svc)
+		changed = changed || renewed
+		bindings = append(bindings, fabric.Binding{
+			Address: b.bindAddress(svc),
+			Decider: &fabric.Decider{Tag: svc.Tag(), Codec: b.keys.Codec, Table: table},
+			Sealer:  b.keys.Sealer,
+		})
+	}
+	if !fresh && !changed {
+		return
+	}
+	if err := b.forwarder.Apply(bindings, b.keys.Sealer); err != nil {
+		b.log.Error("configuration-not-in-force", "revision", cfg.Revision, "error", err.Error())
+		b.failed = true
+		return
+	}
+	b.failed = false
+	if b.node.Self().Revision != cfg.Revision {
+		b.node.SetInForce(cfg.Revision)
+		b.log.Info("configuration-in-force", "revision", cfg.Revision, "services", len(cfg.Services))
+	}
+}
+
+func (b *Balancer) bindAddress(svc *service.Service) netip.AddrPort {
+	if b.cfg.ServiceIP.IsValid() {
+		return netip.AddrPortFrom(b.cfg.ServiceIP, svc.Address.Port())
+	}
+	return svc.Address
+}
+
+// table returns the first-flight table of a service, computed again only when its
+// candidates have changed.
+func (b *Balancer) table(svc *service.Service) (*service.Table, bool) {
+	var candidates service.Candidates
+	for _, o := range b.node.Service(svc.Name) {
+		if o.State != member.StateReady || o.Weight <= 0 || !svc.Upstreams.Allows(o.Identity, o.FailureDomain) {
+			continue
+		}
+		candidates = append(candidates, service.Candidate{Addr: o.Tunnel, Incarnation: o.Incarnation, Weight: o.Weight})
+	}
+	old, ok := b.tables[svc.Name]
+	if ok && candidates.Equal(old.candidates) {
+		return old.table, false
+	}
+	table := service.NewTable(candidates)
+	b.tables[svc.Name] = cachedTable{candidates: candidates, table: table}
+	return table, true
+}
--- /dev/null
+++ b/cmd/greengagedyke/balancer.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"greengagedyke/balancer"
+	"greengagedyke/settings"
+)
+
+const (
+	balancerShort = "Run a balancer on an entry VM"
+	balancerUsage = `Runs a balancer with the settings in a file of JSON with comments.
+
+It forwards the datagrams of callers to the sidecars that hold their
+connections, and keeps no state of any of them. The first SIGTERM makes it leave
+the system before it ends, the second ends it at once.`
+)
+
+type balancerCommand struct {
+	Settings string `long:"settings" short:"s" required:"true" value-name:"FILE" description:"settings file"`
+}
+
+// Execute implements flags.Commander.
+func (c *balancerCommand) Execute([]string) error {
+	cfg := &balancer.Settings{}
+	if err := settings.Load(c.Settings, cfg); err != nil {
+		return err
+	}
+	ctx, abort := lifetime()
+	log := newLog()
+	registry := metrics.NewRegistry()
+	if err := serveMetrics(ctx, log, cfg.Metrics, registry); err != nil {
+		return err
+	}
+	return balancer.Run(ctx, abort, log, cfg, registry)
+}
--- /dev/null
+++ b/cmd/greengagedyke/check.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+
+	"greengagedyke/balancer"
+	"greengagedyke/settings"
+	"greengagedyke/sidecar"
+)
+
+const (
+	checkShort = "Check a settings file"
+	checkUsage = `Checks a settings file without running anything. An error names the file, the
+line and the field.`
+)
+
+type checkCommand struct {
+	Role string `long:"role" required:"true" choice:"balancer" choice:"sidecar" description:"role that the file is for"`
+	Args struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	var cfg settings.Checked = &balancer.Settings{}
+	if c.Role == "sidecar" {
+		cfg = &sidecar.Settings{}
+	}
+	if err := settings.Load(c.Args.File, cfg); err != nil {
+		return err
+	}
+	fmt.Println(c.Args.File + ": ok")
+	return nil
+}
--- /dev/null
+++ b/cmd/greengagedyke/demo.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"greengagedyke/demo"
+)
+
+const (
+	demoShort = "Run both deployments of the first users in this process"
+	demoUsage = `Runs two whole deployments in one process over loopback sockets, under load:
+balancers are killed and join, an upstream is drained, and the load rises to five
+times its base. It takes about 20 seconds and prints what the callers saw,
+compared with what the upstreams ran. The exit code is 1 if a promise broke.`
+)
+
+type demoCommand struct {
+	JSON bool `long:"json" description:"print the result as one JSON object"`
+	Logs bool `long:"logs" description:"print the logs of all processes"`
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	log := slog.New(slog.DiscardHandler)
+	if c.Logs {
+		log = newLog()
+	}
+	progress := io.Writer(os.Stderr)
+	results, err := demo.Run(context.Background(), log, progress)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		if err := json.NewEncoder(os.Stdout).Encode(results); err != nil {
+			return errors.Wrap(err, "demo")
+		}
+	} else {
+		results.Print(os.Stdout)
+	}
+	if results.Broken() {
+		return errors.New("demo: a promise broke")
+	}
+	fmt.Fprintln(os.Stderr, "every promise held")
+	return nil
+}
--- /dev/null
+++ b/cmd/greengagedyke/get.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+)
+
+const (
+	getShort = "Print the declarations in force"
+	getUsage = `Prints the declarations that are in force at a balancer, as JSON. Keys are
+never printed.`
+)
+
+type getCommand struct {
+	apiOptions
+}
+
+// Execute implements flags.Commander.
+func (c *getCommand) Execute([]string) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	cfg, err := client.Configuration(context.Background())
+	if err != nil {
+		return err
+	}
+	out := json.NewEncoder(os.Stdout)
+	out.SetIndent("", "  ")
+	return out.Encode(cfg)
+}
--- /dev/null
+++ b/cmd/greengagedyke/sidecar.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"greengagedyke/settings"
+	"greengagedyke/sidecar"
+)
+
+const (
+	sidecarShort = "Run a sidecar beside an upstream"
+	sidecarUsage = `Runs a sidecar with the settings in a file of JSON with comments.
+
+It ends the connections of callers, and runs their requests on its upstream or
+on its siblings'. The first SIGTERM makes it leave: it takes no new work and ends
+when its feeds have. The second ends it at once.`
+)
+
+type sidecarCommand struct {
+	Settings string `long:"settings" short:"s" required:"true" value-name:"FILE" description:"settings file"`
+}
+
+// Execute implements flags.Commander.
+func (c *sidecarCommand) Execute([]string) error {
+	cfg := &sidecar.Settings{}
+	if err := settings.Load(c.Settings, cfg); err != nil {
+		return err
+	}
+	ctx, abort := lifetime()
+	log := newLog()
+	registry := metrics.NewRegistry()
+	if err := serveMetrics(ctx, log, cfg.Metrics, registry); err != nil {
+		return err
+	}
+	return sidecar.Run(ctx, abort, log, cfg, registry)
+}
--- /dev/null
+++ b/cmd/greengagedyke/status.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+)
+
+const (
+	statusShort = "Print what is in force, and where"
+	statusUsage = `Prints the revision that a balancer has in force, on how many of the known
+processes it is in force, and the state of each process.`
+)
+
+type statusCommand struct {
+	apiOptions
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	s, err := client.Status(context.Background())
+	if err != nil {
+		return err
+	}
+	fmt.Printf("revision %d in force on %d of %d\n", s.Revision, s.InForce, s.Of)
+	if len(s.Missing) > 0 {
+		fmt.Printf("missing: %s\n", strings.Join(s.Missing, ", "))
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "IDENTITY\tSERVICE\tFAILURE DOMAIN\tSTATE\tREVISION")
+	for _, m := range s.Members {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", m.Identity, m.Service, m.FailureDomain, m.State, m.Revision)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/quiclb/connid.go
@@ -0,0 +1,128 @@
+// Package quiclb reads the version-independent part of QUIC packet headers and
+// encodes routing information into server-chosen connection IDs, in the manner
+// of the QUIC-LB draft.
+package quiclb
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/pkg/errors"
+)
+
+// ConnectionIDLen is the length in bytes of every server-chosen connection ID:
+// one byte of key ID and one encrypted AES block.
+const ConnectionIDLen = 1 + aes.BlockSize
+
+// maxKeys is the number of keys that may be valid at the same time, so that one
+// can be rotated in before the other is rotated out.
+const maxKeys = 2
+
+// Route is the routing information inside a connection ID.
+type Route struct {
+	// Addr is the tunnel address of the sidecar that holds the connection. IPv4 only.
+	Addr netip.AddrPort
+	// ServiceTag identifies the service; it is also the check that tells an
+	// authentic connection ID from random bytes.
+	ServiceTag uint32
+	// Incarnation is the truncated incarnation of the sidecar.
+	Incarnation uint16
+	// Nonce makes connection IDs of one sidecar distinct.
+	Nonce uint32
+}
+
+// Key is the secret under which connection IDs are encrypted.
+type Key struct {
+	ID     uint8
+	Secret []byte
+}
+
+type ringKey struct {
+	id    uint8
+	block cipher.Block
+}
+
+// Codec encodes and decodes connection IDs. It is immutable and safe for
+// concurrent use.
+type Codec struct {
+	keys []ringKey
+}
+
+// NewCodec returns a codec that encodes with the first key and decodes with all
+// of them. It fails for no keys, more than two keys or a repeated key ID.
+func NewCodec(keys ...Key) (*Codec, error) {
+	if len(keys) == 0 || len(keys) > maxKeys {
+		return nil, errors.Errorf("quiclb.NewCodec: %d keys, want 1 to %d", len(keys), maxKeys)
+	}
+	c := &Codec{}
+	for _, k := range keys {
+		if c.find(k.ID) != nil {
+			return nil, errors.Errorf("quiclb.NewCodec: key ID %d is repeated", k.ID)
+		}
+		block, err := aes.NewCipher(deriveSecret(k.Secret))
+		if err != nil {
+			return nil, errors.Wrap(err, "quiclb.NewCodec")
+		}
+		c.keys = append(c.keys, ringKey{id: k.ID, block: block})
+	}
+	return c, nil
+}
+
+func deriveSecret(secret []byte) []byte {
+	h := sha256.New()
+	h.Write([]byte("greengagedyke connection-id "))
+	h.Write(secret)
+	return h.Sum(nil)[:aes.BlockSize]
+}
+
+func (c *Codec) find(id uint8) cipher.Block {
+	for i := range c.keys {
+		if c.keys[i].id == id {
+			return c.keys[i].block
+		}
+	}
+	return nil
+}
+
+// Encode writes the connection ID for r into dst, which must hold
+// ConnectionIDLen bytes.
+func (c *Codec) Encode(dst []byte, r Route) {
+	ip := r.Addr.Addr().As4()
+	dst[0] = c.keys[0].id
+	block := dst[1:ConnectionIDLen]
+	copy(block[0:4], ip[:])
+	binary.BigEndian.PutUint16(block[4:6], r.Addr.Port())
+	binary.BigEndian.PutUint32(block[6:10], r.ServiceTag)
+	binary.BigEndian.PutUint16(block[10:12], r.Incarnation)
+	binary.BigEndian.PutUint32(block[12:16], r.Nonce)
+	c.keys[0].block.Encrypt(block, block)
+}
+
+// Decode returns the route inside a connection ID. The caller compares the
+// service tag with the service that the packet was addressed to: random bytes
+// pass that comparison once in 2^32. scratch must hold ConnectionIDLen bytes and
+// is overwritten.
+func (c *Codec) Decode(scratch, id []byte) (Route, bool) {
+	if len(id) < ConnectionIDLen {
+		return Route{}, false
+	}
+	key := c.find(id[0])
+	if key == nil {
+		return Route{}, false
+	}
+	block := scratch[:aes.BlockSize]
+	key.Decrypt(block, id[1:ConnectionIDLen])
+	r := Route{
+		Addr: netip.AddrPortFrom(
+			netip.AddrFrom4([4]byte(block[0:4])),
+			binary.BigEndian.Uint16(block[4:6]),
+		),
+		ServiceTag:  binary.BigEndian.Uint32(block[6:10]),
+		Incarnation: binary.BigEndian.Uint16(block[10:12]),
+		Nonce:       binary.BigEndian.Uint32(block[12:16]),
+	}
+	return r, true
+}
--- /dev/null
+++ b/service/configuration.go
@@ -0,0 +1,123 @@
+package service
+
+import (
+	"encoding/hex"
+
+	"github.com/pkg/errors"
+)
+
+// MaxConfigurationSize is the largest encoded configuration in bytes, the
+// platform's limit on one value.
+const MaxConfigurationSize = 1 << 20
+
+// Key is a secret shared by balancers and sidecars. Connection IDs and tunnel
+// datagrams are made with the first key and accepted under all of them.
+type Key struct {
+	ID     uint8  `json:"id"`
+	Secret Secret `json:"secret"`
+}
+
+// Secret is key material, written in hexadecimal.
+type Secret []byte
+
+// minSecretLen is the shortest accepted key material in bytes.
+const minSecretLen = 16
+
+// MarshalText implements encoding.TextMarshaler.
+func (s Secret) MarshalText() ([]byte, error) {
+	return []byte(hex.EncodeToString(s)), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *Secret) UnmarshalText(text []byte) error {
+	b, err := hex.DecodeString(string(text))
+	if err != nil {
+		return errors.Wrap(err, "service.Secret")
+	}
+	*s = b
+	return nil
+}
+
+// Configuration is everything that operators declared, as one value with one
+// revision: two changes are always ordered, and a directory applies whole.
+type Configuration struct {
+	// Revision is the platform's revision of the value. It only grows.
+	Revision uint64 `json:"revision"`
+	// WriteID identifies the write that made this revision, so that a writer
+	// whose answer was lost recognises its own write.
+	WriteID  string   `json:"write-id"`
+	Services Services `json:"services"`
+	Keys     []Key    `json:"keys"`
+}
+
+// Validate checks each service and that no two share a name, address or tag.
+func (c *Configuration) Validate() error {
+	names := map[string]bool{}
+	addresses := map[string]string{}
+	tags := map[uint32]string{}
+	for i := range c.Services {
+		s := &c.Services[i]
+		if err := s.Validate(); err != nil {
+			return err
+		}
+		resource := "service/" + s.Name
+		if names[s.Name] {
+			return &FieldError{resource, "name", "is declared twice"}
+		}
+		if other, ok := addresses[s.Address.String()]; ok {
+			return &FieldError{resource, "address", "is used by service/" + other}
+		}
+		if other, ok := tags[s.Tag()]; ok {
+			return &FieldError{resource, "name", "has the same tag as service/" + other}
+		}
+		names[s.Name] = true
+		addresses[s.Address.String()] = s.Name
+		tags[s.Tag()] = s.Name
+	}
+	return c.validateKeys()
+}
+
+func (c *Configuration) validateKeys() error {
+	if len(c.Keys) > 2 {
+		return &FieldError{"keys", "keys", "must be at most 2"}
+	}
+	for i, k := range c.Keys {
+		if len(k.Secret) < minSecretLen {
+			return &FieldError{"keys", "secret", "must have at least 16 bytes"}
+		}
+		if i > 0 && c.Keys[0].ID == k.ID {
+			return &FieldError{"keys", "id", "is repeated"}
+		}
+	}
+	return nil
+}
+
+// Service returns the service called name, or nil.
+func (c *Configuration) Service(name string) *Service {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			return &c.Services[i]
+		}
+	}
+	return nil
+}
+
+// Put adds s or replaces the service of the same name.
+func (c *Configuration) Put(s Service) {
+	if old := c.Service(s.Name); old != nil {
+		*old = s
+		return
+	}
+	c.Services = append(c.Services, s)
+}
+
+// Delete removes the service called name and reports whether it was there.
+func (c *Configuration) Delete(name string) bool {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			c.Services = append(c.Services[:i], c.Services[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/sidecar/keyed.go
@@ -0,0 +1,331 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"greengagedyke/service"
+	"greengagedyke/sibling"
+	"greengagedyke/upstream"
+	"greengagedyke/work"
+)
+
+const (
+	// claimTimeout is how long a first attempt waits for the members that are asked
+	// whether its key is in use.
+	claimTimeout = 300 * time.Millisecond
+	// memory is how long requests are remembered; while a member came or went
+	// within that time, all members are asked about a key.
+	memory = 10 * time.Minute
+)
+
+// Holdings are the keyed requests that callers brought to this sidecar. Together
+// with the ledger of what ran here they answer what became of a request.
+type Holdings struct {
+	upstream *upstream.Client
+	siblings *Siblings
+
+	mu     sync.Mutex
+	ledger *work.Ledger
+	// claiming holds the requests that have not been given a place yet; the value
+	// is set when another request under the key has made one yield.
+	claiming map[string]bool
+}
+
+func newHoldings(u *upstream.Client, s *Siblings) *Holdings {
+	return &Holdings{upstream: u, siblings: s, ledger: work.NewLedger(), claiming: map[string]bool{}}
+}
+
+func (h *Holdings) begin(id string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ledger.Expire(time.Now())
+	if err := h.ledger.Begin(time.Now(), "", id); err != nil {
+		return err
+	}
+	h.claiming[id] = false
+	return nil
+}
+
+// commit ends the claiming of a request, after which it may run. It reports false
+// if the request has yielded.
+func (h *Holdings) commit(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.claiming[id] {
+		return false
+	}
+	delete(h.claiming, id)
+	return true
+}
+
+func (h *Holdings) end(id string, o work.Outcome, answer *work.Answer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.claiming, id)
+	state := work.StateUnknown
+	switch o.Verdict {
+	case work.VerdictAnswered:
+		state = work.StateAnswered
+	case work.VerdictNotRun:
+		state = work.StateNotRun
+	}
+	h.ledger.End(time.Now(), id, state, answer)
+}
+
+// Fetch implements sibling.Holder: what is held here counts before what ran here.
+// With mark set, a request that has no place yet yields.
+func (h *Holdings) Fetch(ctx context.Context, id string, mark bool) (work.State, *work.Answer) {
+	h.mu.Lock()
+	done := h.ledger.Done(id)
+	if _, ok := h.claiming[id]; ok && mark {
+		h.claiming[id] = true
+		h.mu.Unlock()
+		return work.StateNotRun, nil
+	}
+	h.mu.Unlock()
+	if done == nil {
+		return h.upstream.Fetch(ctx, id, mark)
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger.Look(id)
+}
+
+// Claim implements sibling.Holder.
+func (h *Holdings) Claim(key string, holding work.Holding, over string) (work.Holding, work.State, bool) {
+	held, state, fresh := h.upstream.Claim(key, holding, over)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if own, _ := h.ledger.Look(held.RequestID); own != work.StateNone {
+		state = own
+	}
+	return held, state, fresh
+}
+
+// Report implements sibling.Holder.
+func (h *Holdings) Report(identity string, l work.Load) { h.siblings.Report(identity, l) }
+
+// keyed runs a request under an idempotency key: it runs only if no other request
+// may have run under the same key.
+func (d *Dispatcher) keyed(ctx context.Context, r *work.Request, sink work.Sink) work.Outcome {
+	if outcome, ok := d.byReceipt(ctx, r, sink); ok {
+		return outcome
+	}
+	if err := d.holdings.begin(r.ID); err != nil {
+		return work.NotRun(work.ReasonOverload, time.Second)
+	}
+	kept := &answerKeeper{Sink: sink}
+	outcome := d.settleKey(ctx, r, kept)
+	d.holdings.end(r.ID, outcome, kept.answer(outcome))
+	if outcome.Verdict == work.VerdictNotRun {
+		d.unclaim(r)
+	}
+	return outcome
+}
+
+// settleKey runs a request once its key is its own, or returns the outcome of the
+// request that holds the key.
+func (d *Dispatcher) settleKey(ctx context.Context, r *work.Request, sink work.Sink) work.Outcome {
+	var over string
+	for range maxAttempts {
+		found := d.claim(ctx, r, over)
+		switch {
+		case found.other != nil:
+		case found.unknown:
+			return work.Unknown(work.ReasonHolderGone)
+		case d.holdings.commit(r.ID):
+			return d.place(ctx, r, sink)
+		default:
+			continue
+		}
+		// Of two requests that claim at once, the one with the larger ID yields.
+		state, answer := d.fetch(ctx, *found.other, r.ID < found.other.RequestID)
+		if state != work.StateNotRun {
+			return settled(state, answer, sink)
+		}
+		over = found.other.RequestID
+	}
+	return work.NotRun(work.ReasonBusyKey, 0)
+}
+
+// byReceipt asks the process that the caller's receipt names. What it does not
+// know for certain is settled by asking the others.
+func (d *Dispatcher) byReceipt(ctx context.Context, r *work.Request, sink work.Sink) (work.Outcome, bool) {
+	if r.Receipt == (work.Receipt{}) {
+		return work.Outcome{}, false
+	}
+	state, answer := d.fetch(ctx, work.Holding{RequestID: r.Receipt.RequestID, Holder: r.Receipt.Identity}, false)
+	if state != work.StateAnswered || answer == nil {
+		return work.Outcome{}, false
+	}
+	return settled(state, answer, sink), true
+}
+
+// fetch asks the holder of a request what became of it; unknown if it is gone.
+func (d *Dispatcher) fetch(ctx context.Context, h work.Holding, mark bool) (work.State, *work.Answer) {
+	if h.Holder == d.holder || h.Holder == "" {
+		return d.holdings.Fetch(ctx, h.RequestID, mark)
+	}
+	c := d.siblings.holder(h.Holder)
+	if c == nil {
+		return work.StateUnknown, nil
+	}
+	state, answer, err := c.Fetch(ctx, h.RequestID, mark)
+	if err != nil {
+		return work.StateUnknown, nil
+	}
+	return state, answer
+}
+
+// claimed is what the members say about a key.
+type claimed struct {
+	// other is the request that holds the key, if it is not the claiming one.
+	other *work.Holding
+	// unknown is set when a member that may have run the key cannot be asked.
+	unknown bool
+}
+
+type claimAnswer struct {
+	holder string
+	held   work.Holding
+	state  work.State
+	err    error
+}
+
+// claim asks members to note that r holds its key. A first attempt asks the key's
+// home, and all members while the membership is changing; a repeat asks all.
+func (d *Dispatcher) claim(ctx context.Context, r *work.Request, over string) claimed {
+	mine := work.Holding{RequestID: r.ID, Holder: d.holder}
+	clients := d.siblings.all()
+	asked := clients
+	if !r.Repeat && !d.siblings.changedWithin(memory) {
+		asked = d.home(r.Key, clients)
+	}
+	if !r.Repeat {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, claimTimeout)
+		defer cancel()
+	}
+	answers := make(chan claimAnswer, len(asked))
+	for identity, c := range asked {
+		holder := d.siblings.holderOf(identity)
+		go func() { answers <- askClaim(ctx, holder, c, r.Key, mine, over) }()
+	}
+	held, state, _ := d.holdings.Claim(r.Key, mine, over)
+	found := claimed{}
+	found.add(mine, claimAnswer{holder: d.holder, held: held, state: state}, r.Repeat)
+	for range asked {
+		found.add(mine, <-answers, r.Repeat)
+	}
+	if r.Repeat && !d.receiptKnown(r) {
+		found.unknown = true
+	}
+	return found
+}
+
+// receiptKnown reports whether the process that the caller's receipt names is
+// still there to be asked; without a receipt there is none to miss.
+func (d *Dispatcher) receiptKnown(r *work.Request) bool {
+	if r.Receipt == (work.Receipt{}) {
+		return !d.lost()
+	}
+	return r.Receipt.Identity == d.holder || d.siblings.holder(r.Receipt.Identity) != nil
+}
+
+func (c *claimed) add(mine work.Holding, a claimAnswer, strict bool) {
+	if a.err != nil {
+		c.unknown = c.unknown || strict
+		return
+	}
+	if a.held.RequestID == mine.RequestID {
+		return
+	}
+	h := a.held
+	if h.Holder == "" {
+		// The member ran it for a sidecar that holds the key. If it did not, that
+		// sidecar is asked in its own right.
+		if a.state == work.StateNone || a.state == work.StateNotRun {
+			return
+		}
+		h.Holder = a.holder
+	}
+	// Of two requests that hold the key in different places, the one that has begun counts.
+	if c.other == nil || a.state == work.StateRunning || a.state == work.StateAnswered {
+		c.other = &h
+	}
+}
+
+func askClaim(ctx context.Context, holder string, c *sibling.Client, key string, mine work.Holding, over string) claimAnswer {
+	held, state, err := c.Claim(ctx, key, mine, over)
+	return claimAnswer{holder: holder, held: held, state: state, err: err}
+}
+
+// home returns the member that is asked about a key, chosen by its hash; none if
+// that is this sidecar.
+func (d *Dispatcher) home(key string, clients map[string]*sibling.Client) map[string]*sibling.Client {
+	best := d.identity
+	bestScore := service.RendezvousScore(d.identity, key)
+	for identity := range clients {
+		if score := service.RendezvousScore(identity, key); score > bestScore {
+			best = identity
+			bestScore = score
+		}
+	}
+	if best == d.identity {
+		return nil
+	}
+	return map[string]*sibling.Client{best: clients[best]}
+}
+
+// A claim that is not given back is replaced by the next attempt under the key.
+func (d *Dispatcher) unclaim(r *work.Request) {
+	d.upstream.Unclaim(r.Key, r.ID)
+	for _, c := range d.home(r.Key, d.siblings.all()) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+			defer cancel()
+			if err := c.Unclaim(ctx, r.Key, r.ID); err != nil {
+				d.log.Debug("unclaim-lost", "error", err.Error())
+			}
+		}()
+	}
+}
+
+// answerKeeper passes an answer on and keeps a copy.
+type answerKeeper struct {
+	work.Sink
+	head work.Head
+	body []byte
+	over bool
+}
+
+// Head implements work.Sink.
+func (k *answerKeeper) Head(h work.Head) error {
+	k.head = h
+	return k.Sink.Head(h)
+}
+
+// Chunk implements work.Sink.
+func (k *answerKeeper) Chunk(p []byte) error {
+	if len(k.body)+len(p) > work.MaxKeptAnswer {
+		k.over = true
+		k.body = nil
+	}
+	if !k.over {
+		k.body = append(k.body, p...)
+	}
+	return k.Sink.Chunk(p)
+}
+
+func (k *answerKeeper) answer(o work.Outcome) *work.Answer {
+	if o.Verdict != work.VerdictAnswered || k.over {
+		return nil
+	}
+	return &work.Answer{Head: k.head, Body: k.body}
+}
--- /dev/null
+++ b/sidecar/settings.go
@@ -0,0 +1,103 @@
+// Package sidecar is the process beside each upstream: it ends callers'
+// connections, decides where their requests run, and runs them.
+package sidecar
+
+import (
+	"net/netip"
+
+	"greengagedyke/settings"
+)
+
+const (
+	defaultHealthPath = "/health"
+	maxSlots          = 1024
+	minSecretLen      = 16
+)
+
+// Settings describe one sidecar.
+type Settings struct {
+	Identity      string          `json:"identity"`
+	FailureDomain string          `json:"failure-domain"`
+	Secret        settings.Secret `json:"secret"`
+	Service       string          `json:"service"`
+	// Tunnel is the UDP address for datagrams from balancers.
+	Tunnel netip.AddrPort `json:"tunnel-address"`
+	// Sibling is the TCP address for sessions from siblings.
+	Sibling netip.AddrPort `json:"sibling-address"`
+	// Upstream is the HTTP/1.1 address of the local upstream.
+	Upstream   netip.AddrPort `json:"upstream-address"`
+	HealthPath string         `json:"health-path"`
+	Slots      int            `json:"slots"`
+	// Balancers are the control addresses of balancers to announce to at first.
+	Balancers []netip.AddrPort `json:"balancers"`
+	// CertificateFile and KeyFile are PEM files shown to callers.
+	CertificateFile string `json:"certificate-file"`
+	KeyFile         string `json:"key-file"`
+	// Metrics is a local HTTP address for metrics; none if empty.
+	Metrics netip.AddrPort `json:"metrics-address,omitempty"`
+	// Baseline replaces decisions by simpler ones, to measure against.
+	Baseline Baseline `json:"baseline,omitempty"`
+}
+
+// Baseline names a simpler way to decide.
+type Baseline string
+
+const (
+	// BaselineNone is the product.
+	BaselineNone Baseline = ""
+	// BaselineLocal runs every request where its connection ends.
+	BaselineLocal Baseline = "local"
+	// BaselineRandom runs every request on a random sidecar.
+	BaselineRandom Baseline = "random"
+	// BaselineFIFO queues all classes in one queue.
+	BaselineFIFO Baseline = "fifo"
+)
+
+// Defaults implements settings.Checked.
+func (s *Settings) Defaults() {
+	if s.HealthPath == "" {
+		s.HealthPath = defaultHealthPath
+	}
+}
+
+// Validate implements settings.Checked.
+func (s *Settings) Validate() error {
+	switch {
+	case s.Identity == "":
+		return &settings.FieldError{Field: "identity", Problem: "must not be empty"}
+	case s.FailureDomain == "":
+		return &settings.FieldError{Field: "failure-domain", Problem: "must not be empty"}
+	case len(s.Secret) < minSecretLen:
+		return &settings.FieldError{Field: "secret", Problem: "must have at least 16 bytes"}
+	case s.Service == "":
+		return &settings.FieldError{Field: "service", Problem: "must not be empty"}
+	case s.Slots < 1 || s.Slots > maxSlots:
+		return &settings.FieldError{Field: "slots", Problem: "must be 1 to 1024"}
+	case len(s.Balancers) == 0:
+		return &settings.FieldError{Field: "balancers", Problem: "must not be empty"}
+	case s.CertificateFile == "" || s.KeyFile == "":
+		return &settings.FieldError{Field: "certificate-file", Problem: "certificate-file and key-file must be set"}
+	}
+	return s.validateAddresses()
+}
+
+func (s *Settings) validateAddresses() error {
+	for _, a := range []struct {
+		field string
+		addr  netip.AddrPort
+	}{
+		{"tunnel-address", s.Tunnel},
+		{"sibling-address", s.Sibling},
+		{"upstream-address", s.Upstream},
+	} {
+		if !a.addr.IsValid() || !a.addr.Addr().Is4() {
+			return &settings.FieldError{Field: a.field, Problem: "must be an IPv4 address and a port"}
+		}
+	}
+	switch s.Baseline {
+	case BaselineNone, BaselineLocal, BaselineRandom, BaselineFIFO:
+		return nil
+	default:
+		return &settings.FieldError{Field: "baseline", Problem: "must be local, random or fifo"}
+	}
+}
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,289 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"greengagedyke/service"
+	"greengagedyke/work"
+)
+
+const (
+	// DeadlineHeader tells the upstream how many milliseconds a request has left.
+	DeadlineHeader = "Request-Deadline-Ms"
+	// NotRunHeader is set by an upstream that refuses a request without running it.
+	NotRunHeader = "Request-Not-Run"
+	// KeyHeader carries the idempotency key.
+	KeyHeader = "Idempotency-Key"
+
+	dialTimeout    = 500 * time.Millisecond
+	chunkSize      = 16 << 10
+	maxIdleConns   = 64
+	idleConnExpiry = 10 * time.Second
+)
+
+// Client runs requests on one upstream and keeps the ledger of what it ran.
+type Client struct {
+	addr   netip.AddrPort
+	reuse  *http.Transport
+	single *http.Transport
+	slots  *Slots
+
+	mu     sync.Mutex
+	ledger *work.Ledger
+	health work.Health
+}
+
+// New returns a client of the upstream at addr, and its clean-up function.
+func New(addr netip.AddrPort, slots *Slots) (*Client, func()) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	c := &Client{
+		addr:  addr,
+		slots: slots,
+		reuse: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: maxIdleConns,
+			IdleConnTimeout:     idleConnExpiry,
+			DisableCompression:  true,
+		},
+		// A reused connection may be closed by the upstream just when a request is
+		// written to it, and then nobody knows whether the request ran.
+		single: &http.Transport{
+			DialContext:        dialer.DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		},
+		ledger: work.NewLedger(),
+	}
+	return c, c.reuse.CloseIdleConnections
+}
+
+// Run runs a request whose slot has been started, and streams the answer into sink.
+func (c *Client) Run(ctx context.Context, r *work.Request, sink work.Sink) work.Outcome {
+	if err := c.begin(r); err != nil {
+		return work.NotRun(work.ReasonMarked, 0)
+	}
+	kept := &keeper{sink: sink, keep: r.Route.Class == service.ClassNonIdempotent}
+	ctx, cancel := c.runContext(ctx, r)
+	defer cancel()
+	outcome := c.roundTrip(ctx, r, kept)
+	c.end(r.ID, outcome, kept)
+	return outcome
+}
+
+// A non-idempotent request that has started runs on when its caller goes away,
+// so that a repeat finds the answer.
+func (*Client) runContext(ctx context.Context, r *work.Request) (context.Context, context.CancelFunc) {
+	if r.Route.Class == service.ClassNonIdempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	if r.Deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, r.Deadline)
+}
+
+func (c *Client) begin(r *work.Request) error {
+	if r.Route.Class == service.ClassFlow {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Begin(time.Now(), r.Key, r.ID)
+}
+
+func (c *Client) end(id string, o work.Outcome, kept *keeper) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ledger.Done(id) == nil {
+		return
+	}
+	state := work.StateUnknown
+	var answer *work.Answer
+	switch o.Verdict {
+	case work.VerdictAnswered:
+		state = work.StateAnswered
+		answer = kept.answer()
+	case work.VerdictNotRun:
+		state = work.StateNotRun
+	}
+	c.ledger.End(time.Now(), id, state, answer)
+}
+
+func (c *Client) roundTrip(ctx context.Context, r *work.Request, sink *keeper) work.Outcome {
+	request, err := c.request(ctx, r)
+	if err != nil {
+		return work.NotRun(work.ReasonUpstream, 0)
+	}
+	transport := c.reuse
+	if r.Route.Class != service.ClassIdempotent {
+		transport = c.single
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return c.failed(ctx, err)
+	}
+	defer response.Body.Close()
+	c.observe(true)
+	if response.Header.Get(NotRunHeader) == "?1" {
+		c.slots.Shed()
+		return work.NotRun(work.ReasonShed, retryAfter(response))
+	}
+	return c.copyAnswer(ctx, response, sink)
+}
+
+func retryAfter(response *http.Response) time.Duration {
+	n, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
+
+func (c *Client) failed(ctx context.Context, err error) work.Outcome {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		c.observe(false)
+		return work.NotRun(work.ReasonUpstream, 0)
+	}
+	if ctx.Err() != nil {
+		return work.Unknown(work.ReasonDeadline)
+	}
+	c.observe(false)
+	return work.Unknown(work.ReasonUpstream)
+}
+
+func (c *Client) request(ctx context.Context, r *work.Request) (*http.Request, error) {
+	// The body hides its type so that the transport cannot replay it.
+	body := io.NopCloser(io.Reader(bytes.NewReader(r.Body)))
+	url := "http://" + c.addr.String() + r.Target
+	request, err := http.NewRequestWithContext(ctx, r.Method, url, body)
+	if err != nil {
+		return nil, errors.Wrap(err, "upstream.Client.request")
+	}
+	request.ContentLength = int64(len(r.Body))
+	if len(r.Body) == 0 {
+		request.Body = http.NoBody
+		if r.Route.Class == service.ClassNonIdempotent {
+			request.Body = io.NopCloser(bytes.NewReader(nil))
+			request.ContentLength = -1
+		}
+	}
+	for _, f := range r.Fields {
+		request.Header.Add(f.Name, f.Value)
+	}
+	if r.Key != "" {
+		request.Header.Set(KeyHeader, r.Key)
+	}
+	if !r.Deadline.IsZero() {
+		left := max(0, time.Until(r.Deadline).Milliseconds())
+		request.Header.Set(DeadlineHeader, strconv.FormatInt(left, 10))
+	}
+	return request, nil
+}
+
+func (c *Client) copyAnswer(ctx context.Context, response *http.Response, sink *keeper) work.Outcome {
+	head := work.Head{Status: response.StatusCode}
+	for name, values := range response.Header {
+		for _, v := range values {
+			if !hopByHop[name] {
+				head.Fields = append(head.Fields, work.Field{Name: name, Value: v})
+			}
+		}
+	}
+	if response.ContentLength >= 0 && response.Header.Get("Content-Length") == "" {
+		head.Fields = append(head.Fields, work.Field{Name: "Content-Length", Value: strconv.FormatInt(response.ContentLength, 10)})
+	}
+	sinkErr := sink.Head(head)
+	buf := make([]byte, chunkSize)
+	for {
+		n, err := response.Body.Read(buf)
+		if n > 0 && sinkErr == nil {
+			sinkErr = sink.Chunk(buf[:n])
+		}
+		if n > 0 && sinkErr != nil {
+			sink.store(buf[:n])
+		}
+		if err == io.EOF {
+			return work.Outcome{Verdict: work.VerdictAnswered}
+		}
+		if err != nil {
+			return c.cut(ctx)
+		}
+		if sinkErr != nil && !sink.keep {
+			return work.Outcome{Verdict: work.VerdictCut, Reason: work.ReasonCanceled}
+		}
+	}
+}
+
+func (c *Client) cut(ctx context.Context) work.Outcome {
+	if ctx.Err() != nil {
+		return work.Outcome{Verdict: work.VerdictCut, Reason: work.ReasonDeadline}
+	}
+	c.observe(false)
+	return work.Outcome{Verdict: work.VerdictCut, Reason: work.ReasonUpstream}
+}
+
+// Header fields that concern one connection only.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+}
+
+func (c *Client) observe(ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.health.Observe(time.Now(), ok)
+}
+
+// keeper passes an answer on and keeps a copy for repeats of the request.
+type keeper struct {
+	sink work.Sink
+	keep bool
+	head work.Head
+	body []byte
+	over bool
+}
+
+func (k *keeper) Receipt(r work.Receipt) { k.sink.Receipt(r) }
+
+func (k *keeper) Head(h work.Head) error {
+	k.head = h
+	return k.sink.Head(h)
+}
+
+func (k *keeper) Chunk(p []byte) error {
+	if err := k.sink.Chunk(p); err != nil {
+		return err
+	}
+	k.store(p)
+	return nil
+}
+
+func (k *keeper) store(p []byte) {
+	if !k.keep || k.over {
+		return
+	}
+	if len(k.body)+len(p) > work.MaxKeptAnswer {
+		k.over = true
+		k.body = nil
+		return
+	}
+	k.body = append(k.body, p...)
+}
+
+func (k *keeper) answer() *work.Answer {
+	if !k.keep || k.over {
+		return nil
+	}
+	return &work.Answer{Head: k.head, Body: k.body}
+}
--- /dev/null
+++ b/upstream/ledger.go
@@ -0,0 +1,102 @@
+package upstream
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"greengagedyke/work"
+)
+
+// Claim gives a key to a request unless another may have run under it. The state
+// is that of the request which holds the key.
+func (c *Client) Claim(key string, h work.Holding, over string) (work.Holding, work.State, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held, fresh := c.ledger.Claim(time.Now(), key, h, over)
+	state, _ := c.ledger.Look(held.RequestID)
+	return held, state, fresh
+}
+
+// Unclaim gives a key free after its request was not run.
+func (c *Client) Unclaim(key, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Unclaim(key, id)
+}
+
+// Fetch waits until a request has ended and returns what became of it. With mark
+// set, a request that has not begun never will.
+func (c *Client) Fetch(ctx context.Context, id string, mark bool) (work.State, *work.Answer) {
+	done := c.watch(id, mark)
+	if done == nil {
+		return work.StateNone, nil
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Look(id)
+}
+
+func (c *Client) watch(id string, mark bool) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if mark {
+		c.ledger.Mark(time.Now(), id)
+	}
+	return c.ledger.Done(id)
+}
+
+// Healthy reports whether the upstream may be given work.
+func (c *Client) Healthy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.health.Healthy(time.Now())
+}
+
+const (
+	healthInterval = 500 * time.Millisecond
+	ledgerInterval = 5 * time.Second
+)
+
+// RunHealth asks the upstream's health endpoint until ctx ends, and then closes done.
+func (c *Client) RunHealth(ctx context.Context, path string, done chan<- struct{}) {
+	defer close(done)
+	t := time.NewTicker(healthInterval)
+	defer t.Stop()
+	expired := time.Now()
+	for {
+		c.checkHealth(ctx, path)
+		if now := time.Now(); now.Sub(expired) > ledgerInterval {
+			c.mu.Lock()
+			c.ledger.Expire(now)
+			c.mu.Unlock()
+			expired = now
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (c *Client) checkHealth(ctx context.Context, path string) {
+	ctx, cancel := context.WithTimeout(ctx, healthInterval)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addr.String()+path, http.NoBody)
+	if err != nil {
+		return
+	}
+	response, err := c.reuse.RoundTrip(request)
+	ok := err == nil && response.StatusCode < http.StatusInternalServerError
+	if err == nil {
+		response.Body.Close()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.health.Report(time.Now(), ok)
+}
