Keep slots busy and short work ahead at the crest

Cause: at five times the load the slots were idle 35% of the time while the processors were saturated: each swap asked all siblings about its key, each waiting request bid at siblings every 25 ms, yamux wrote each frame with two system calls, and queued long work made a sidecar look full to short work. Change: keys have homes (rendezvous hash, records by age) instead of asking all; waiting bids are bounded by priority; loads report free slots for short and long work and queues by priority; a slot is free when the upstream is done, not when the caller has read; long work leaves as many slots as short work used; a header and its body leave in one write. Demo work takes 40 and 800 ms instead of 20 and 400.

--- a/control/node.go
+++ b/control/node.go
@@ -158,6 +158,7 @@
 	if q.Self != nil {
 		if old, ok := n.view.Find(q.Self.Identity); ok && old.Incarnation != q.Self.Incarnation {
 			a.OtherIncarnation = old.Incarnation
+			a.OtherLeft = old.State == member.StateGone
 		}
 		n.merge([]*Member{q.Self})
 	}
@@ -198,7 +199,7 @@
 func (n *Node) learn(a *AnnounceAnswer) error {
 	n.mu.Lock()
 	n.merge(a.Members)
-	n.learnIncarnation(a.OtherIncarnation)
+	n.learnIncarnation(a.OtherIncarnation, a.OtherLeft)
 	n.mu.Unlock()
 	if len(a.Configuration) == 0 {
 		return nil
@@ -207,25 +208,38 @@
 	return err
 }
 
-// A process that was restarted names its former incarnation. A clock that was set
-// back must not make it look older than that; once it serves, its incarnation is fixed.
-func (n *Node) learnIncarnation(other uint64) {
-	if other == 0 || n.self.State != member.StateStarting || other <= n.self.Former {
+// A process whose former incarnation was lost names it. A clock that was set back
+// must not make it look older than that; once it serves, its incarnation is fixed.
+func (n *Node) learnIncarnation(other uint64, left bool) {
+	if other == 0 || n.self.State != member.StateStarting {
 		return
 	}
-	n.self.Former = other
+	before := n.self
 	n.self.Incarnation = max(n.self.Incarnation, other+1)
-	n.self.Sequence++
-	n.notify()
+	if !left {
+		n.self.Former = max(n.self.Former, other)
+	}
+	if n.self != before {
+		n.self.Sequence++
+		n.notify()
+	}
 }
 
-// Lost reports whether a process that served a service lately is gone.
+// Lost reports whether a process that served a service lately is gone without
+// having left.
 func (n *Node) Lost(name string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.view.Lost(name, time.Now()) || n.self.Former != 0
 }
 
+// Left reports whether an incarnation of a process has ended after it left.
+func (n *Node) Left(identity string, incarnation uint64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.Left(identity, incarnation)
+}
+
 func (n *Node) request() *AnnounceRequest {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/demo/deployments.go
+++ b/demo/deployments.go
@@ -16,9 +16,9 @@
 // Base rates leave the slots about 40% busy, so that five times the load is twice
 // what the slots can carry.
 const (
-	shortTime    = 20 * time.Millisecond
-	swapTime     = 20 * time.Millisecond
-	downloadTime = 400 * time.Millisecond
+	shortTime    = 40 * time.Millisecond
+	swapTime     = 40 * time.Millisecond
+	downloadTime = 800 * time.Millisecond
 	feedInterval = 200 * time.Millisecond
 	feedGap      = 3 * time.Second
 	connections  = 5
--- a/demo/run.go
+++ b/demo/run.go
@@ -26,6 +26,8 @@
 	CrestService float64 `json:"crest-service"`
 	// CrestGoodput is the useful work at five times the load over the slots' capacity.
 	CrestGoodput float64 `json:"crest-goodput"`
+	// CrestBusy is the share of the slots' time at the crest in which they were held.
+	CrestBusy float64 `json:"crest-busy"`
 	// ShortP99 and ShortP99Long are the 99th percentiles of short reads without and
 	// with long downloads.
 	ShortP99     time.Duration `json:"short-p99"`
@@ -218,7 +220,8 @@
 	time.Sleep(2 * time.Second)
 	c := l.SinceMark().Counts[load.KindSwap]
 	p.result.CrestService = float64(c.Answered-c.Late) / float64(max(1, c.Sent))
-	p.result.CrestGoodput = p.goodput(before, after, elapsed)
+	p.result.CrestGoodput = p.share(before, after, elapsed, func(a upstream.Audit) time.Duration { return a.Useful })
+	p.result.CrestBusy = p.share(before, after, elapsed, func(a upstream.Audit) time.Duration { return a.Work })
 	p.say("%-10s  at the crest: %.1f%% of swaps in time, goodput %.1f%%", p.Name, 100*p.result.CrestService, 100*p.result.CrestGoodput)
 }
 
@@ -244,14 +247,15 @@
 	return float64(most) * float64(len(after)) / float64(sum)
 }
 
-// goodput leaves out the upstream that was drained.
-func (p *play) goodput(before, after map[string]upstream.Audit, elapsed time.Duration) float64 {
-	var useful time.Duration
+// share is a part of the upstreams' time over the capacity of their slots. It
+// leaves out the upstream that was drained.
+func (p *play) share(before, after map[string]upstream.Audit, elapsed time.Duration, part func(upstream.Audit) time.Duration) float64 {
+	var sum time.Duration
 	for id, a := range after {
-		useful += a.Useful - before[id].Useful
+		sum += part(a) - part(before[id])
 	}
 	capacity := elapsed * time.Duration(p.Slots*(len(after)-1))
-	return float64(useful) / float64(capacity)
+	return float64(sum) / float64(capacity)
 }
 
 func (p *play) finish() {
--- a/demo/site.go
+++ b/demo/site.go
@@ -85,7 +85,6 @@
 	sidecars  map[string]*process
 	Upstreams map[string]*upstream.Upstream
 	Loads     map[string]*load.Load
-	inForce   time.Duration
 }
 
 // NewSite starts a deployment and applies its services through a balancer's API.
--- a/member/record.go
+++ b/member/record.go
@@ -63,7 +63,8 @@
 	Incarnation uint64
 	// Sequence grows with each change within an incarnation.
 	Sequence uint64
-	// Former is the incarnation of the process before this one, 0 if none is known.
+	// Former is the incarnation of the process before this one if that did not leave
+	// but was lost; else 0.
 	Former uint64
 	// Revision is the revision of the configuration in force in the process.
 	Revision uint64
@@ -146,17 +147,32 @@
 	}
 }
 
-// Lost reports whether a process that served a service lately is gone: it was
-// silent, has ended, or was replaced by a new incarnation.
+// Lost reports whether a process that served a service lately is gone without
+// having left: it is silent, or a new incarnation replaced it.
 func (v *View) Lost(name string, now time.Time) bool {
 	for _, o := range v.members {
-		if o.Role == RoleSidecar && o.Service == name && (!o.Alive(now) || o.replacedLately(now)) {
+		if o.Role != RoleSidecar || o.Service != name {
+			continue
+		}
+		if o.State != StateGone && !o.Alive(now) || o.replacedLately(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// Left reports whether an incarnation of a process has ended after it left.
+func (v *View) Left(identity string, incarnation uint64) bool {
+	o, ok := v.members[identity]
+	if !ok {
+		return false
+	}
+	if o.Incarnation == incarnation {
+		return o.State == StateGone
+	}
+	return o.Incarnation > incarnation && o.Former == 0
+}
+
 // Incarnations are start times in nanoseconds.
 func (o *Observed) replacedLately(now time.Time) bool {
 	return o.Former != 0 && now.Sub(time.Unix(0, int64(o.Incarnation))) < forgetAfter
--- a/session/session.go
+++ b/session/session.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"encoding/binary"
 	"io"
 	"log/slog"
 	"net"
@@ -87,10 +88,39 @@
 // Close ends the call. A peer that still works on it is told.
 func (s *Stream) Close() error { return s.conn.Close() }
 
-// heardConn notes when anything was last read from a connection.
+// heardConn notes when anything was last read from a connection. It writes a frame
+// header together with the body that follows it, since yamux writes them apart and
+// each write would be a TLS record and a system call of its own.
 type heardConn struct {
 	net.Conn
-	heard atomic.Int64 // Unix time in nanoseconds
+	heard  atomic.Int64 // Unix time in nanoseconds
+	header [frameHeaderLen]byte
+	held   bool
+	frame  []byte
+}
+
+// The layout of a yamux frame header: version, type, flags, stream and length.
+const (
+	frameHeaderLen    = 12
+	frameTypeOffset   = 1
+	frameLengthOffset = 8
+	frameTypeData     = 0
+)
+
+// Write implements net.Conn. yamux writes from one goroutine.
+func (c *heardConn) Write(p []byte) (int, error) {
+	if c.held {
+		c.held = false
+		c.frame = append(append(c.frame[:0], c.header[:]...), p...)
+		n, err := c.Conn.Write(c.frame)
+		return max(0, n-frameHeaderLen), err
+	}
+	if len(p) == frameHeaderLen && p[frameTypeOffset] == frameTypeData && binary.BigEndian.Uint32(p[frameLengthOffset:]) > 0 {
+		copy(c.header[:], p)
+		c.held = true
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
 }
 
 // Read implements net.Conn.
--- a/sibling/client.go
+++ b/sibling/client.go
@@ -79,17 +79,23 @@
 	return uint32(max(1, time.Until(deadline).Milliseconds()))
 }
 
-// Wait returns when the sibling grants the slot, or the error why it does not.
-func (h *Held) Wait(ctx context.Context) error {
-	var e Event
-	if err := h.stream.Receive(ctx, &e); err != nil {
-		return errors.WithMessage(ErrLost, err.Error())
-	}
-	h.client.note(e.Load)
-	if e.Grant == nil {
-		return errors.WithMessage(ErrRefused, e.GetNotRun().GetReason())
+// Wait returns when the sibling grants the slot, or the error why it does not. It
+// calls queued when the sibling has no free slot now.
+func (h *Held) Wait(ctx context.Context, queued func()) error {
+	for {
+		var e Event
+		if err := h.stream.Receive(ctx, &e); err != nil {
+			return errors.WithMessage(ErrLost, err.Error())
+		}
+		h.client.note(e.Load)
+		switch {
+		case e.Grant != nil:
+			return nil
+		case e.NotRun != nil:
+			return errors.WithMessage(ErrRefused, e.NotRun.Reason)
+		}
+		queued()
 	}
-	return nil
 }
 
 func (c *Client) note(l *LoadNotice) {
@@ -203,22 +209,35 @@
 const busyScale = 1000
 
 func loadTo(identity string, l work.Load) *LoadNotice {
-	return &LoadNotice{
+	m := &LoadNotice{
 		Identity: identity,
 		Slots:    uint32(l.Slots),
 		Free:     uint32(l.Free),
-		Queued:   uint32(l.Queued),
+		FreeLong: uint32(l.FreeLong),
 		Busy:     uint32(l.Busy * busyScale),
 	}
+	used := 0
+	for priority, n := range l.Queued {
+		m.Queued = append(m.Queued, uint32(n))
+		if n > 0 {
+			used = priority + 1
+		}
+	}
+	m.Queued = m.Queued[:used]
+	return m
 }
 
-func loadFrom(l *LoadNotice) work.Load {
-	return work.Load{
-		Slots:  int(l.Slots),
-		Free:   int(l.Free),
-		Queued: int(l.Queued),
-		Busy:   float64(l.Busy) / busyScale,
+func loadFrom(m *LoadNotice) work.Load {
+	l := work.Load{
+		Slots:    int(m.Slots),
+		Free:     int(m.Free),
+		FreeLong: int(m.FreeLong),
+		Busy:     float64(m.Busy) / busyScale,
+	}
+	for priority, n := range m.Queued[:min(len(m.Queued), work.Priorities)] {
+		l.Queued[priority] = int(n)
 	}
+	return l
 }
 
 func headersTo(fields work.Fields) []*Header {
--- a/sibling/server.go
+++ b/sibling/server.go
@@ -24,8 +24,6 @@
 type Slots interface {
 	Enqueue(e work.Entry) (<-chan error, error)
 	Start(id string) error
-	Finish(id string)
-	Release(id string)
 	Cancel(id string)
 	Load() work.Load
 }
@@ -146,21 +144,36 @@
 		v.refuse(s, reason(err), 0)
 		return
 	}
-	select {
-	case err = <-granted:
-	case <-ctx.Done():
-		v.slots.Cancel(r.ID)
+	defer v.slots.Cancel(r.ID)
+	err = v.awaitGrant(ctx, s, granted)
+	if ctx.Err() != nil {
 		return
 	}
 	if err != nil {
 		v.refuse(s, reason(err), 0)
 		return
 	}
-	defer v.slots.Cancel(r.ID)
 	v.answer(s, &Event{Grant: &Grant{LeaseMs: uint32(lease.Milliseconds())}, Load: loadTo(v.identity, v.slots.Load())})
 	v.run(ctx, s, r, started, v.slots)
 }
 
+// awaitGrant waits for a slot; a sibling whose request has to wait is told at once,
+// so that it can look elsewhere.
+func (v *Server) awaitGrant(ctx context.Context, s *session.Stream, granted <-chan error) error {
+	select {
+	case err := <-granted:
+		return err
+	default:
+	}
+	v.answer(s, &Event{Load: loadTo(v.identity, v.slots.Load())})
+	select {
+	case err := <-granted:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // receiveStart passes on the start of an offer, and ends its context when the
 // sibling goes away.
 func receiveStart(ctx context.Context, cancel func(), s *session.Stream, started chan<- *Start) {
@@ -191,20 +204,9 @@
 	}
 	sink := &streamSink{stream: s}
 	outcome := v.upstream.Run(ctx, r, sink)
-	if slots != nil {
-		endSlot(slots, r.ID, outcome)
-	}
 	v.finish(s, outcome)
 }
 
-func endSlot(slots Slots, id string, o work.Outcome) {
-	if o.Verdict == work.VerdictAnswered {
-		slots.Finish(id)
-		return
-	}
-	slots.Release(id)
-}
-
 func (v *Server) finish(s *session.Stream, o work.Outcome) {
 	switch o.Verdict {
 	case work.VerdictAnswered:
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,12 +17,14 @@
 const (
 	// maxAttempts bounds the places where one request is tried.
 	maxAttempts = 3
-	// queueElsewhere is the number of siblings in whose queues a request waits when
-	// no slot is free.
-	queueElsewhere = 1
-	// spreadAfter is how long a request waits for the place that was picked before
-	// it queues at others too.
-	spreadAfter = 30 * time.Millisecond
+	// spreadInterval is the time after which a request that waits looks for a place
+	// with a free slot, or a shorter queue, again.
+	spreadInterval = 25 * time.Millisecond
+	// maxBids bounds the places where one request waits at the same time.
+	maxBids = 3
+	// queueBidsPerSlot bounds the requests of this sidecar that wait in siblings'
+	// queues: enough to keep a sibling's slots busy, and no more talk than that.
+	queueBidsPerSlot = 1
 )
 
 // Dispatcher decides where requests run. It implements caller.Dispatcher.
@@ -35,8 +38,13 @@
 	holdings *Holdings
 	baseline Baseline
 	leaving  func() bool
+	// queueBids is the number of requests that wait in siblings' queues, by priority.
+	queueBids [work.Priorities]atomic.Int64
+	slotCount int
 	// lost reports whether a member that may have run something is gone.
 	lost func() bool
+	// left reports whether a holder has ended and handed over what it knew.
+	left func(holder string) bool
 }
 
 // Dispatch runs a request somewhere and passes its answer to sink.
@@ -64,12 +72,12 @@
 		if outcome.Verdict != work.VerdictNotRun {
 			return outcome
 		}
-		ids := d.siblings.pickQueues(1, exclude)
-		if len(ids) == 0 {
+		identity, ok := d.siblings.pickQueue(r.Route.Priority, false, exclude)
+		if !ok {
 			return outcome
 		}
-		exclude[ids[0]] = true
-		outcome = d.flowElsewhere(ctx, ids[0], r, sink)
+		exclude[identity] = true
+		outcome = d.flowElsewhere(ctx, identity, r, sink)
 	}
 	return outcome
 }
@@ -83,7 +91,7 @@
 	if err != nil {
 		return work.NotRun(work.ReasonNoUpstream, 0)
 	}
-	if err := held.Wait(ctx); err != nil {
+	if err := held.Wait(ctx, func() {}); err != nil {
 		held.Cancel()
 		return work.NotRun(work.ReasonNoUpstream, 0)
 	}
@@ -94,24 +102,25 @@
 // place finds a slot for a request, runs it, and tries elsewhere as long as it is
 // certain that it has not run, or as it may run twice.
 func (d *Dispatcher) place(ctx context.Context, r *work.Request, sink work.Sink) work.Outcome {
+	waitCtx := ctx
 	if !r.Deadline.IsZero() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, r.Deadline)
+		waitCtx, cancel = context.WithDeadline(ctx, r.Deadline)
 		defer cancel()
 	}
 	guard := &headGuard{Sink: sink}
 	exclude := map[string]bool{}
 	outcome := work.NotRun(work.ReasonOverload, 0)
 	for range maxAttempts {
-		s, err := d.acquire(ctx, r, exclude)
+		s, err := d.acquire(waitCtx, r, exclude)
 		if err != nil {
-			return d.refusal(ctx, r, err)
+			return d.refusal(waitCtx, r, err)
 		}
 		if r.Route.Class == service.ClassNonIdempotent {
 			guard.Receipt(work.Receipt{Identity: s.holder, RequestID: r.ID})
 		}
 		outcome = s.run(ctx, r, guard)
-		if !d.mayRetry(ctx, r, guard, outcome) {
+		if !d.mayRetry(waitCtx, r, guard, outcome) {
 			return outcome
 		}
 		exclude[s.identity] = true
@@ -187,24 +196,23 @@
 		tried[id] = true
 	}
 	open := 0
+	queued := make(chan struct{}, 1)
 	start := func(identity string) {
 		tried[identity] = true
 		open++
-		go func() { bids <- d.bid(bidCtx, identity, r) }()
+		go func() { bids <- d.bid(bidCtx, identity, r, queued) }()
 	}
 	defer func() {
 		cancel()
 		go withdraw(bids, open)
 	}()
-	for _, identity := range d.firstPlaces(tried) {
-		start(identity)
-	}
-	spread := time.NewTimer(spreadAfter)
+	start(d.firstPlace(r, tried))
+	spread := time.NewTicker(spreadInterval)
 	defer spread.Stop()
 	var lastErr error = work.ErrOverload
 	for {
 		if open == 0 {
-			next := d.nextPlace(tried)
+			next := d.nextPlace(r, tried)
 			if next == "" {
 				return nil, lastErr
 			}
@@ -217,8 +225,15 @@
 				return b.slot, nil
 			}
 			lastErr = worse(lastErr, b.err)
+		case <-queued:
+			if next, ok := d.siblings.pick(d.slots.Load(), r.Route.Long, tried); ok && open < maxBids && d.baseline == BaselineNone {
+				start(next)
+			}
 		case <-spread.C:
-			if next := d.nextPlace(tried); next != "" && d.baseline == BaselineNone {
+			if open >= maxBids {
+				continue
+			}
+			if next := d.betterPlace(r, tried); next != "" {
 				start(next)
 			}
 		}
@@ -242,45 +257,70 @@
 	}
 }
 
-// firstPlaces returns where a request asks for a slot at once: the best place with
-// a free slot, or when there is none, the own queue and the shortest others.
-func (d *Dispatcher) firstPlaces(tried map[string]bool) []string {
+// firstPlace returns where a request asks for a slot first: the best place with a
+// free slot, or when there is none, the own queue.
+func (d *Dispatcher) firstPlace(r *work.Request, tried map[string]bool) string {
 	switch d.baseline {
 	case BaselineLocal:
-		return []string{d.identity}
+		return d.identity
 	case BaselineRandom:
-		return []string{d.siblings.anyPlace()}
+		return d.siblings.anyPlace()
 	}
-	if identity, ok := d.siblings.pick(tried); ok {
-		return []string{identity}
+	if identity, ok := d.siblings.pick(d.slots.Load(), r.Route.Long, tried); ok {
+		return identity
+	}
+	return d.nextPlace(r, tried)
+}
+
+// nextPlace returns a place for a request that waits nowhere: the own queue, then
+// the shortest other one.
+func (d *Dispatcher) nextPlace(r *work.Request, tried map[string]bool) string {
+	if d.baseline == BaselineLocal || d.baseline == BaselineRandom {
+		return ""
 	}
-	places := d.siblings.pickQueues(queueElsewhere, tried)
 	if !d.leaving() && !tried[d.identity] {
-		places = append(places, d.identity)
+		return d.identity
 	}
-	return places
+	identity, _ := d.siblings.pickQueue(r.Route.Priority, false, tried)
+	return identity
 }
 
-func (d *Dispatcher) nextPlace(tried map[string]bool) string {
+// betterPlace returns a further place for a request that waits: one with a free
+// slot, the own queue if it does not wait there, or a much shorter queue.
+func (d *Dispatcher) betterPlace(r *work.Request, tried map[string]bool) string {
 	if d.baseline == BaselineLocal || d.baseline == BaselineRandom {
 		return ""
 	}
+	if identity, ok := d.siblings.pick(d.slots.Load(), r.Route.Long, tried); ok {
+		return identity
+	}
 	if !d.leaving() && !tried[d.identity] {
 		return d.identity
 	}
-	for _, id := range d.siblings.pickQueues(1, tried) {
-		return id
+	if d.bidsUpTo(r.Route.Priority) >= queueBidsPerSlot*d.slotCount {
+		return ""
 	}
-	return ""
+	identity, _ := d.siblings.pickQueue(r.Route.Priority, true, tried)
+	return identity
+}
+
+// bidsUpTo counts the waiting offers of this priority and those before it, so that
+// less urgent requests do not keep urgent ones from other queues.
+func (d *Dispatcher) bidsUpTo(priority int) int {
+	n := 0
+	for i := range d.queueBids[:priority+1] {
+		n += int(d.queueBids[i].Load())
+	}
+	return n
 }
 
-func (d *Dispatcher) bid(ctx context.Context, identity string, r *work.Request) bid {
-	d.siblings.assign(identity, d.slots.Expected(r.RouteName()))
-	defer d.siblings.settle(identity)
+func (d *Dispatcher) bid(ctx context.Context, identity string, r *work.Request, queued chan<- struct{}) bid {
+	d.siblings.assign(identity, r.Route.Long, d.slots.Expected(r.RouteName()))
+	defer d.siblings.settle(identity, r.Route.Long)
 	if identity == d.identity {
 		return d.bidLocal(ctx, r)
 	}
-	return d.bidSibling(ctx, identity, r)
+	return d.bidSibling(ctx, identity, r, queued)
 }
 
 func (d *Dispatcher) bidLocal(ctx context.Context, r *work.Request) bid {
@@ -288,7 +328,6 @@
 	if err != nil {
 		return bid{err: err}
 	}
-	d.siblings.Report(d.identity, d.slots.Load())
 	select {
 	case err = <-granted:
 	case <-ctx.Done():
@@ -299,20 +338,15 @@
 	if err != nil {
 		return bid{err: err}
 	}
-	s := &slot{identity: d.identity, holder: d.holder, cancel: func() { d.slots.Release(r.ID) }}
-	s.run = func(ctx context.Context, r *work.Request, sink work.Sink) work.Outcome {
-		outcome := d.upstream.Run(ctx, r, sink)
-		if outcome.Verdict == work.VerdictAnswered {
-			d.slots.Finish(r.ID)
-		} else {
-			d.slots.Release(r.ID)
-		}
-		return outcome
-	}
-	return bid{slot: s}
+	return bid{slot: &slot{
+		identity: d.identity,
+		holder:   d.holder,
+		run:      d.upstream.Run,
+		cancel:   func() { d.slots.Release(r.ID) },
+	}}
 }
 
-func (d *Dispatcher) bidSibling(ctx context.Context, identity string, r *work.Request) bid {
+func (d *Dispatcher) bidSibling(ctx context.Context, identity string, r *work.Request, queued chan<- struct{}) bid {
 	c := d.siblings.client(identity)
 	if c == nil {
 		return bid{err: work.ErrOverload}
@@ -321,7 +355,16 @@
 	if err != nil {
 		return bid{err: err}
 	}
-	if err := held.Wait(ctx); err != nil {
+	waiting := &d.queueBids[r.Route.Priority]
+	waiting.Add(1)
+	err = held.Wait(ctx, func() {
+		select {
+		case queued <- struct{}{}:
+		default:
+		}
+	})
+	waiting.Add(-1)
+	if err != nil {
 		held.Cancel()
 		return bid{err: err}
 	}
--- a/sidecar/keyed.go
+++ b/sidecar/keyed.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"greengagedyke/service"
 	"greengagedyke/sibling"
 	"greengagedyke/upstream"
 	"greengagedyke/work"
@@ -15,9 +14,6 @@
 	// claimTimeout is how long a first attempt waits for the members that are asked
 	// whether its key is in use.
 	claimTimeout = 300 * time.Millisecond
-	// memory is how long requests are remembered; while a member came or went
-	// within that time, all members are asked about a key.
-	memory = 10 * time.Minute
 )
 
 // Holdings are the keyed requests that callers brought to this sidecar. Together
@@ -199,13 +195,13 @@
 }
 
 // claim asks members to note that r holds its key. A first attempt asks the key's
-// home, and all members while the membership is changing; a repeat asks all.
+// homes; a repeat, and every attempt after a member was lost, asks all.
 func (d *Dispatcher) claim(ctx context.Context, r *work.Request, over string) claimed {
 	mine := work.Holding{RequestID: r.ID, Holder: d.holder}
 	clients := d.siblings.all()
 	asked := clients
-	if !r.Repeat && !d.siblings.changedWithin(memory) {
-		asked = d.home(r.Key, clients)
+	if !r.Repeat && !d.lost() {
+		asked = d.siblings.homes(r.Key)
 	}
 	if !r.Repeat {
 		var cancel context.CancelFunc
@@ -229,13 +225,14 @@
 	return found
 }
 
-// receiptKnown reports whether the process that the caller's receipt names is
-// still there to be asked; without a receipt there is none to miss.
+// receiptKnown reports whether the process that the caller's receipt names can be
+// asked, or has handed over what it knew. Without a receipt no member may be lost.
 func (d *Dispatcher) receiptKnown(r *work.Request) bool {
-	if r.Receipt == (work.Receipt{}) {
+	name := r.Receipt.Identity
+	if name == "" {
 		return !d.lost()
 	}
-	return r.Receipt.Identity == d.holder || d.siblings.holder(r.Receipt.Identity) != nil
+	return name == d.holder || d.siblings.holder(name) != nil || d.left(name)
 }
 
 func (c *claimed) add(mine work.Holding, a claimAnswer, strict bool) {
@@ -266,27 +263,10 @@
 	return claimAnswer{holder: holder, held: held, state: state, err: err}
 }
 
-// home returns the member that is asked about a key, chosen by its hash; none if
-// that is this sidecar.
-func (d *Dispatcher) home(key string, clients map[string]*sibling.Client) map[string]*sibling.Client {
-	best := d.identity
-	bestScore := service.RendezvousScore(d.identity, key)
-	for identity := range clients {
-		if score := service.RendezvousScore(identity, key); score > bestScore {
-			best = identity
-			bestScore = score
-		}
-	}
-	if best == d.identity {
-		return nil
-	}
-	return map[string]*sibling.Client{best: clients[best]}
-}
-
 // A claim that is not given back is replaced by the next attempt under the key.
 func (d *Dispatcher) unclaim(r *work.Request) {
 	d.upstream.Unclaim(r.Key, r.ID)
-	for _, c := range d.home(r.Key, d.siblings.all()) {
+	for _, c := range d.siblings.homes(r.Key) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
 			defer cancel()
--- a/sidecar/siblings.go
+++ b/sidecar/siblings.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +30,15 @@
 	return fmt.Sprintf("%s@%d", identity, incarnation)
 }
 
+func parseHolder(name string) (identity string, incarnation uint64, ok bool) {
+	identity, text, ok := strings.Cut(name, "@")
+	if !ok {
+		return "", 0, false
+	}
+	incarnation, err := strconv.ParseUint(text, 10, 64)
+	return identity, incarnation, err == nil
+}
+
 type siblingPeer struct {
 	record member.Record
 	client *sibling.Client
@@ -44,7 +55,6 @@
 	mu      sync.Mutex
 	peers   map[string]*siblingPeer // by identity
 	balance *work.Balance
-	changed time.Time
 }
 
 func newSiblings(log *slog.Logger, self member.Record, c *session.Credentials) *Siblings {
@@ -92,7 +102,6 @@
 		if !present[id] {
 			p.close()
 			delete(s.peers, id)
-			s.changed = time.Now()
 		}
 	}
 	s.balance.SetSiblings(places)
@@ -107,7 +116,6 @@
 	if old != nil {
 		old.close()
 	}
-	s.changed = time.Now()
 	peer, closePeer := session.NewPeer(r.Control, s.credentials)
 	identity := r.Identity
 	target := sibling.Target{ServiceTag: service.Tag(r.Service), Incarnation: r.Incarnation}
@@ -126,10 +134,13 @@
 	s.balance.Report(time.Now(), identity, l)
 }
 
-func (s *Siblings) pick(exclude map[string]bool) (string, bool) {
+// pick returns the best place with a free slot. The own load is always current.
+func (s *Siblings) pick(own work.Load, long bool, exclude map[string]bool) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.balance.Pick(time.Now(), exclude)
+	now := time.Now()
+	s.balance.Report(now, s.self.Identity, own)
+	return s.balance.Pick(now, long, exclude)
 }
 
 // anyPlace returns a random place, the baseline that knows nothing.
@@ -143,22 +154,22 @@
 	return ids[rand.IntN(len(ids))]
 }
 
-func (s *Siblings) pickQueues(n int, exclude map[string]bool) []string {
+func (s *Siblings) pickQueue(priority int, shorter bool, exclude map[string]bool) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.balance.PickQueues(n, exclude)
+	return s.balance.PickQueue(priority, shorter, exclude)
 }
 
-func (s *Siblings) assign(identity string, expected time.Duration) {
+func (s *Siblings) assign(identity string, long bool, expected time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balance.Assign(identity, expected)
+	s.balance.Assign(identity, long, expected)
 }
 
-func (s *Siblings) settle(identity string) {
+func (s *Siblings) settle(identity string, long bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balance.Settle(identity)
+	s.balance.Settle(identity, long)
 }
 
 func (s *Siblings) client(identity string) *sibling.Client {
@@ -194,11 +205,21 @@
 	return clients
 }
 
-// changedWithin reports whether a member came or went lately.
-func (s *Siblings) changedWithin(d time.Duration) bool {
+// homes returns the members that may know of a key, this sidecar left out.
+func (s *Siblings) homes(key string) map[string]*sibling.Client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.changed) < d
+	members := []work.Home{{Identity: s.self.Identity, Incarnation: s.self.Incarnation}}
+	for id, p := range s.peers {
+		members = append(members, work.Home{Identity: id, Incarnation: p.record.Incarnation})
+	}
+	clients := map[string]*sibling.Client{}
+	for _, h := range work.Homes(key, members) {
+		if p := s.peers[h.Identity]; p != nil {
+			clients[h.Identity] = p.client
+		}
+	}
+	return clients
 }
 
 // runNotify tells siblings about the own slots while these are in use, until ctx
@@ -229,7 +250,7 @@
 // worthTelling reports whether a load differs enough from the one told last.
 func worthTelling(told, l work.Load) bool {
 	const busyStep = 0.01
-	return told.Free != l.Free || told.Queued != l.Queued || max(told.Busy-l.Busy, l.Busy-told.Busy) > busyStep
+	return told.Free != l.Free || told.FreeLong != l.FreeLong || told.Queued != l.Queued || max(told.Busy-l.Busy, l.Busy-told.Busy) > busyStep
 }
 
 func (s *Siblings) notify(ctx context.Context, wg *sync.WaitGroup, l work.Load) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -212,6 +212,11 @@
 		baseline: s.cfg.Baseline,
 		leaving:  s.leaving.Load,
 		lost:     func() bool { return s.node.Lost(s.cfg.Service) },
+		left: func(holder string) bool {
+			identity, incarnation, ok := parseHolder(holder)
+			return ok && s.node.Left(identity, incarnation)
+		},
+		slotCount: s.cfg.Slots,
 	}
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -25,6 +25,10 @@
 	// KeyHeader carries the idempotency key.
 	KeyHeader = "Idempotency-Key"
 
+	// answerGrace is how long after the deadline an answer may still arrive: one that
+	// has begun is not cut for being a little late.
+	answerGrace = 250 * time.Millisecond
+
 	dialTimeout    = 500 * time.Millisecond
 	chunkSize      = 16 << 10
 	maxIdleConns   = 64
@@ -68,6 +72,7 @@
 }
 
 // Run runs a request whose slot has been started, and streams the answer into sink.
+// The slot is free again as soon as the upstream is done.
 func (c *Client) Run(ctx context.Context, r *work.Request, sink work.Sink) work.Outcome {
 	if err := c.begin(r); err != nil {
 		return work.NotRun(work.ReasonMarked, 0)
@@ -75,6 +80,7 @@
 	kept := &keeper{sink: sink, keep: r.Route.Class == service.ClassNonIdempotent}
 	ctx, cancel := c.runContext(ctx, r)
 	defer cancel()
+	defer c.slots.Release(r.ID)
 	outcome := c.roundTrip(ctx, r, kept)
 	c.end(r.ID, outcome, kept)
 	return outcome
@@ -89,7 +95,7 @@
 	if r.Deadline.IsZero() {
 		return context.WithCancel(ctx)
 	}
-	return context.WithDeadline(ctx, r.Deadline)
+	return context.WithDeadline(ctx, r.Deadline.Add(answerGrace))
 }
 
 func (c *Client) begin(r *work.Request) error {
@@ -138,7 +144,7 @@
 		c.slots.Shed()
 		return work.NotRun(work.ReasonShed, retryAfter(response))
 	}
-	return c.copyAnswer(ctx, response, sink)
+	return c.copyAnswer(ctx, r, response, sink)
 }
 
 func retryAfter(response *http.Response) time.Duration {
@@ -191,7 +197,7 @@
 	return request, nil
 }
 
-func (c *Client) copyAnswer(ctx context.Context, response *http.Response, sink *keeper) work.Outcome {
+func (c *Client) copyAnswer(ctx context.Context, r *work.Request, response *http.Response, sink *keeper) work.Outcome {
 	head := work.Head{Status: response.StatusCode}
 	for name, values := range response.Header {
 		for _, v := range values {
@@ -203,6 +209,32 @@
 	if response.ContentLength >= 0 && response.Header.Get("Content-Length") == "" {
 		head.Fields = append(head.Fields, work.Field{Name: "Content-Length", Value: strconv.FormatInt(response.ContentLength, 10)})
 	}
+	if response.ContentLength >= 0 && response.ContentLength <= chunkSize {
+		return c.copySmall(ctx, r, response, head, sink)
+	}
+	return c.copyLarge(ctx, r, response, head, sink)
+}
+
+// copySmall reads the whole answer first, so that the upstream's slot does not
+// wait for the caller.
+func (c *Client) copySmall(ctx context.Context, r *work.Request, response *http.Response, head work.Head, sink *keeper) work.Outcome {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return c.cut(ctx)
+	}
+	c.slots.Finish(r.ID)
+	sink.head = head
+	sink.store(body)
+	if err := sink.sink.Head(head); err != nil {
+		return sink.undelivered()
+	}
+	if err := sink.sink.Chunk(body); err != nil {
+		return sink.undelivered()
+	}
+	return work.Outcome{Verdict: work.VerdictAnswered}
+}
+
+func (c *Client) copyLarge(ctx context.Context, r *work.Request, response *http.Response, head work.Head, sink *keeper) work.Outcome {
 	sinkErr := sink.Head(head)
 	buf := make([]byte, chunkSize)
 	for {
@@ -214,6 +246,7 @@
 			sink.store(buf[:n])
 		}
 		if err == io.EOF {
+			c.slots.Finish(r.ID)
 			return work.Outcome{Verdict: work.VerdictAnswered}
 		}
 		if err != nil {
@@ -281,6 +314,15 @@
 	k.body = append(k.body, p...)
 }
 
+// undelivered is the outcome of an answer that the sink refused: a kept one can
+// still be fetched.
+func (k *keeper) undelivered() work.Outcome {
+	if k.keep && !k.over {
+		return work.Outcome{Verdict: work.VerdictAnswered}
+	}
+	return work.Outcome{Verdict: work.VerdictCut, Reason: work.ReasonCanceled}
+}
+
 func (k *keeper) answer() *work.Answer {
 	if !k.keep || k.over {
 		return nil
--- a/work/balance.go
+++ b/work/balance.go
@@ -6,15 +6,31 @@
 	"time"
 )
 
+// Priorities is the number of priorities; 0 is served first.
+const Priorities = 10
+
 // Load is what a sidecar says of its upstream's slots.
 type Load struct {
-	Slots  int
-	Free   int
-	Queued int
+	Slots int
+	// Free is the number of slots that a short request could have at once.
+	Free int
+	// FreeLong is the number of slots that a long request could have at once.
+	FreeLong int
+	// Queued is the number of requests that wait, by priority.
+	Queued [Priorities]int
 	// Busy is the decayed share of time that the slots were busy.
 	Busy float64
 }
 
+// ahead is the number of waiting requests that are served before a new one.
+func (l *Load) ahead(priority int) int {
+	n := 0
+	for _, q := range l.Queued[:priority+1] {
+		n += q
+	}
+	return n
+}
+
 const (
 	// domainMargin is how much busier an upstream of the own failure domain may be
 	// than the least busy one before work crosses domains.
@@ -38,8 +54,10 @@
 	reported time.Time
 	// assigned is the work sent there since the last report.
 	assigned time.Duration
-	// outstanding is the number of offers there without an answer.
-	outstanding int
+	// outstanding and outstandingLong are the numbers of short and long offers
+	// there without an answer.
+	outstanding     int
+	outstandingLong int
 }
 
 // Balance picks the sidecar that should run a request, from what siblings said
@@ -62,7 +80,7 @@
 	for _, s := range list {
 		old := b.siblings[s.Identity]
 		if old == nil {
-			old = &siblingLoad{load: Load{Slots: s.Slots, Free: s.Slots}}
+			old = &siblingLoad{load: Load{Slots: s.Slots, Free: s.Slots, FreeLong: s.Slots}}
 		}
 		old.Sibling = s
 		next[s.Identity] = old
@@ -81,19 +99,31 @@
 	s.assigned = 0
 }
 
-// Assign notes that work of an expected duration goes to a place.
-func (b *Balance) Assign(identity string, expected time.Duration) {
-	if s, ok := b.siblings[identity]; ok {
-		s.assigned += expected
-		s.outstanding++
+// Assign notes that work of an expected duration is offered to a place.
+func (b *Balance) Assign(identity string, long bool, expected time.Duration) {
+	s, ok := b.siblings[identity]
+	if !ok {
+		return
 	}
+	s.assigned += expected
+	if long {
+		s.outstandingLong++
+		return
+	}
+	s.outstanding++
 }
 
 // Settle notes that an offer to a place has been answered.
-func (b *Balance) Settle(identity string) {
-	if s, ok := b.siblings[identity]; ok {
-		s.outstanding = max(0, s.outstanding-1)
+func (b *Balance) Settle(identity string, long bool) {
+	s, ok := b.siblings[identity]
+	if !ok {
+		return
+	}
+	if long {
+		s.outstandingLong = max(0, s.outstandingLong-1)
+		return
 	}
+	s.outstanding = max(0, s.outstanding-1)
 }
 
 // use estimates the busy share of a place, with the work sent there since it reported.
@@ -102,19 +132,23 @@
 	return s.load.Busy + float64(s.assigned)/float64(busyWindow)/float64(slots)
 }
 
-func (s *siblingLoad) free(now time.Time, self bool) bool {
-	if !self && !s.reported.IsZero() && now.Sub(s.reported) > staleReport {
-		return s.outstanding < s.Slots
+func (s *siblingLoad) free(now time.Time, self, long bool) bool {
+	free, outstanding := s.load.Free, s.outstanding
+	if long {
+		free, outstanding = s.load.FreeLong, s.outstandingLong
+	}
+	if !self && now.Sub(s.reported) > staleReport {
+		return outstanding < s.Slots
 	}
-	return s.load.Free > s.outstanding
+	return free > outstanding
 }
 
 // Pick returns the place for a new request; false when no place is known to have
-// a free slot. Places in exclude are passed over.
-func (b *Balance) Pick(now time.Time, exclude map[string]bool) (string, bool) {
+// a free slot for it. Places in exclude are passed over.
+func (b *Balance) Pick(now time.Time, long bool, exclude map[string]bool) (string, bool) {
 	var free []*siblingLoad
 	for id, s := range b.siblings {
-		if !exclude[id] && s.free(now, id == b.self) {
+		if !exclude[id] && s.free(now, id == b.self, long) {
 			free = append(free, s)
 		}
 	}
@@ -155,30 +189,42 @@
 	return list[b.turn%uint64(n)].Identity
 }
 
-// PickQueues returns up to n places other than self where a request should queue
-// when no slot is free: those with the shortest queues for their slots.
-func (b *Balance) PickQueues(n int, exclude map[string]bool) []string {
-	var list []*siblingLoad
+// queueMargin is how many more requests a slot must wait in the own queue before
+// a request also waits in a sibling's.
+const queueMargin = 1.0
+
+// PickQueue returns the place other than self with the fewest requests a slot ahead
+// of one with this priority. With shorter set, that must be clearly fewer than in the
+// own queue.
+func (b *Balance) PickQueue(priority int, shorter bool, exclude map[string]bool) (string, bool) {
+	var best *siblingLoad
 	for id, s := range b.siblings {
-		if id != b.self && !exclude[id] {
-			list = append(list, s)
+		if id == b.self || exclude[id] {
+			continue
 		}
-	}
-	slices.SortFunc(list, func(x, y *siblingLoad) int {
-		if c := cmp.Compare(x.queue(), y.queue()); c != 0 {
-			return c
+		if best == nil || s.less(best, priority) {
+			best = s
 		}
-		return cmp.Compare(x.Identity, y.Identity)
-	})
-	var ids []string
-	for _, s := range list[:min(n, len(list))] {
-		ids = append(ids, s.Identity)
 	}
-	return ids
+	if best == nil {
+		return "", false
+	}
+	own, ok := b.siblings[b.self]
+	if shorter && ok && best.queue(priority)+queueMargin > own.queue(priority) {
+		return "", false
+	}
+	return best.Identity, true
+}
+
+func (s *siblingLoad) less(o *siblingLoad, priority int) bool {
+	if s.queue(priority) != o.queue(priority) {
+		return s.queue(priority) < o.queue(priority)
+	}
+	return s.Identity < o.Identity
 }
 
-func (s *siblingLoad) queue() float64 {
-	return float64(s.load.Queued+s.outstanding) / float64(max(1, s.load.Slots))
+func (s *siblingLoad) queue(priority int) float64 {
+	return float64(s.load.ahead(priority)+s.outstanding) / float64(max(1, s.load.Slots))
 }
 
 // Places returns the identities of all places, self included.
--- a/work/scheduler.go
+++ b/work/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 	defaultDuration = 20 * time.Millisecond
 	// durationGain is the weight of a new observation in a learnt duration.
 	durationGain = 0.1
+	// shortUse is the share of the slots kept from long requests that short ones
+	// should use.
+	shortUse = 0.5
 	// busyWindow is the time constant of the busy share.
 	busyWindow = 5 * time.Second
 )
@@ -77,6 +81,7 @@
 	fifo      bool
 
 	busy     float64 // decayed share of time that the slots were busy
+	short    float64 // decayed number of slots that short requests held
 	busyAt   time.Time
 	finished uint64
 }
@@ -115,6 +120,7 @@
 	if !e.Long {
 		s.shortSeen = now
 	}
+	e.Priority = max(0, min(e.Priority, Priorities-1))
 	if len(s.queue) >= s.slots*maxQueuePerSlot {
 		return ErrOverload
 	}
@@ -220,11 +226,14 @@
 	return s.longRunning() < s.longLimit(now)
 }
 
+// longLimit keeps slots from long requests while short ones are known: as many as
+// short requests have used lately, with room for their bursts, and at least one.
 func (s *Scheduler) longLimit(now time.Time) int {
 	if now.Sub(s.shortSeen) > shortMemory || s.shortSeen.IsZero() {
 		return s.limit
 	}
-	return max(1, s.slots-1)
+	kept := max(1, int(math.Ceil(s.short/shortUse)))
+	return max(1, s.slots-kept)
 }
 
 func (s *Scheduler) longRunning() int {
@@ -335,6 +344,7 @@
 		return
 	}
 	s.busy = decay(s.busy, float64(len(s.running))/float64(s.slots), dt)
+	s.short = decay(s.short, float64(len(s.running)-s.longRunning()), dt)
 	s.busyAt = now
 }
 
@@ -346,12 +356,17 @@
 // Load describes the slots to siblings.
 func (s *Scheduler) Load(now time.Time) Load {
 	s.account(now)
-	return Load{
-		Slots:  s.slots,
-		Free:   max(0, s.limit-len(s.running)-len(s.queue)),
-		Queued: len(s.queue),
-		Busy:   s.busy,
+	l := Load{Slots: s.slots, Busy: s.busy}
+	long := 0
+	for _, q := range s.queue {
+		l.Queued[q.Priority]++
+		if q.Long {
+			long++
+		}
 	}
+	l.Free = max(0, s.limit-len(s.running)-(len(s.queue)-long))
+	l.FreeLong = max(0, min(l.Free, s.longLimit(now)-s.longRunning())-long)
+	return l
 }
 
 // Idle reports whether no request holds or waits for a slot.
