Run the real programs as processes in tests; stand-ins as a program

Cause: the path was only tried inside one process. Change: a second binary runs the stand-ins (store, fabric, upstream, proxy, load, certificate); testscript runs real processes: whole path, a balancer killed every second, a draining sidecar, a sidecar paused beyond its grants, settings errors. Ties between queues are broken by the whole queue and the busy share, and more requests may wait at siblings.

--- a/cmd/greengagedyke/demo.go
+++ b/cmd/greengagedyke/demo.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"runtime/debug"
 
 	"github.com/pkg/errors"
 
@@ -21,6 +22,8 @@
 compared with what the upstreams ran. The exit code is 1 if a promise broke.`
 )
 
+const demoGCPercent = 400
+
 type demoCommand struct {
 	JSON bool `long:"json" description:"print the result as one JSON object"`
 	Logs bool `long:"logs" description:"print the logs of all processes"`
@@ -32,6 +35,8 @@
 	if c.Logs {
 		log = newLog()
 	}
+	// Some 45 processes share this one's heap and its garbage collector.
+	debug.SetGCPercent(demoGCPercent)
 	progress := io.Writer(os.Stderr)
 	results, err := demo.Run(context.Background(), log, progress)
 	if err != nil {
--- a/cmd/greengagedyke/status.go
+++ b/cmd/greengagedyke/status.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("revision %d in force on %d of %d\n", s.Revision, s.InForce, s.Of)
+	fmt.Printf("revision %d in force on %d of %d, %d ready\n", s.Revision, s.InForce, s.Of, s.Ready())
 	if len(s.Missing) > 0 {
 		fmt.Printf("missing: %s\n", strings.Join(s.Missing, ", "))
 	}
--- /dev/null
+++ b/cmd/standins/certificate.go
@@ -0,0 +1,17 @@
+package main
+
+import "greengagedyke/standin/certificate"
+
+const certificateUsage = "Write a self-signed certificate and its key"
+
+type certificateCommand struct {
+	Certificate string `long:"certificate" default:"certificate.pem" value-name:"FILE"`
+	Key         string `long:"key" default:"key.pem" value-name:"FILE"`
+	Name        string `long:"name" default:"service.example"`
+}
+
+// Execute implements flags.Commander.
+func (c *certificateCommand) Execute([]string) error {
+	_, err := certificate.Write(c.Certificate, c.Key, c.Name)
+	return err
+}
--- /dev/null
+++ b/cmd/standins/fabric.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"greengagedyke/standin/fabric"
+)
+
+const fabricUsage = "Run a fabric that sprays datagrams over balancers"
+
+type fabricCommand struct {
+	controlOptions
+	Services  []address `long:"service" required:"true" value-name:"ADDRESS" description:"service address to own"`
+	Balancers []string  `long:"balancer" required:"true" value-name:"IP" description:"IP of a balancer"`
+}
+
+// Execute implements flags.Commander.
+func (c *fabricCommand) Execute([]string) error {
+	ctx, stop := lifetime()
+	defer stop()
+	f, end := fabric.New()
+	defer end()
+	ips, err := parseIPs(c.Balancers)
+	if err != nil {
+		return err
+	}
+	f.SetBalancers(ips)
+	for _, a := range c.Services {
+		if err := f.Serve(a.AddrPort); err != nil {
+			return err
+		}
+	}
+	err = c.serve(ctx, map[string]func(*json.Decoder) error{
+		"/balancers": func(dec *json.Decoder) error {
+			var ips []netip.Addr
+			if err := dec.Decode(&ips); err != nil {
+				return err
+			}
+			f.SetBalancers(ips)
+			return nil
+		},
+		"/faults": func(dec *json.Decoder) error {
+			var faults fabric.Faults
+			if err := dec.Decode(&faults); err != nil {
+				return err
+			}
+			f.SetFaults(faults)
+			return nil
+		},
+	})
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func parseIPs(list []string) ([]netip.Addr, error) {
+	var ips []netip.Addr
+	for _, s := range list {
+		ip, err := netip.ParseAddr(s)
+		if err != nil {
+			return nil, err
+		}
+		ips = append(ips, ip)
+	}
+	return ips, nil
+}
--- /dev/null
+++ b/cmd/standins/load.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"greengagedyke/standin/load"
+	"greengagedyke/standin/upstream"
+)
+
+const loadUsage = "Play callers, compare their record with the upstreams' audits, exit 1 on a broken promise"
+
+type loadCommand struct {
+	Address     address       `long:"address" required:"true" description:"service address"`
+	Service     string        `long:"service" required:"true"`
+	Roots       string        `long:"roots" required:"true" value-name:"FILE" description:"certificates that callers trust"`
+	ServerName  string        `long:"server-name" default:"service.example"`
+	Audits      []string      `long:"audit" value-name:"URL" description:"audit of an upstream"`
+	Duration    time.Duration `long:"duration" default:"5s"`
+	Connections int           `long:"connections" default:"3"`
+	Feeds       int           `long:"feeds" default:"5"`
+	FeedGap     time.Duration `long:"feed-gap" default:"10s"`
+	Swaps       float64       `long:"swaps" default:"10" description:"arrivals a second"`
+	Shorts      float64       `long:"shorts" default:"10" description:"arrivals a second"`
+	Downloads   float64       `long:"downloads" default:"0" description:"arrivals a second"`
+	Deadline    time.Duration `long:"deadline" default:"5s"`
+	Repeats     int           `long:"repeats" default:"3"`
+	Seed        uint64        `long:"seed" default:"1"`
+	MinAnswered int           `long:"min-answered" description:"fail with fewer answered swaps"`
+}
+
+type loadReport struct {
+	load.Broken
+	Result load.Result `json:"result"`
+}
+
+// Execute implements flags.Commander.
+func (c *loadCommand) Execute([]string) error {
+	ctx, stop := lifetime()
+	defer stop()
+	pem, err := os.ReadFile(c.Roots)
+	if err != nil {
+		return errors.Wrap(err, "--roots")
+	}
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(pem)
+	l, end := load.New(load.Options{
+		Address:     c.Address.AddrPort,
+		Service:     c.Service,
+		Connections: c.Connections,
+		Feeds:       c.Feeds,
+		FeedGap:     c.FeedGap,
+		Rates:       map[load.Kind]float64{load.KindSwap: c.Swaps, load.KindShort: c.Shorts, load.KindDownload: c.Downloads},
+		Deadlines:   map[load.Kind]time.Duration{load.KindSwap: c.Deadline, load.KindShort: c.Deadline, load.KindDownload: c.Deadline},
+		Repeats:     c.Repeats,
+		Seed:        c.Seed,
+		Roots:       roots,
+		ServerName:  c.ServerName,
+	})
+	defer end()
+	l.OpenFeeds(ctx)
+	runCtx, cancel := context.WithTimeout(ctx, c.Duration)
+	defer cancel()
+	l.Run(runCtx)
+	l.Wait()
+	audits, err := readAudits(c.Audits)
+	if err != nil {
+		return err
+	}
+	report := loadReport{Broken: l.Compare(audits), Result: l.Result()}
+	if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+		return errors.Wrap(err, "load")
+	}
+	if report.Broken.Any() {
+		return errors.Errorf("load: a promise broke: %+v", report.Broken)
+	}
+	if n := report.Result.Counts[load.KindSwap].Answered; n < c.MinAnswered {
+		return errors.Errorf("load: %d swaps answered, want at least %d", n, c.MinAnswered)
+	}
+	return nil
+}
+
+func readAudits(urls []string) ([]upstream.Audit, error) {
+	client := &http.Client{Timeout: 2 * time.Second}
+	var audits []upstream.Audit
+	for _, u := range urls {
+		response, err := client.Get(u)
+		if err != nil {
+			return nil, errors.Wrap(err, "load: audit")
+		}
+		var a upstream.Audit
+		err = json.NewDecoder(response.Body).Decode(&a)
+		response.Body.Close()
+		if err != nil {
+			return nil, fmt.Errorf("load: audit %s: %w", u, err)
+		}
+		audits = append(audits, a)
+	}
+	return audits, nil
+}
--- /dev/null
+++ b/cmd/standins/proxy.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"encoding/json"
+
+	"greengagedyke/standin/proxy"
+)
+
+const proxyUsage = "Run a fault-injecting proxy for TCP or UDP"
+
+type proxyCommand struct {
+	controlOptions
+	Protocol string  `long:"protocol" choice:"tcp" choice:"udp" default:"tcp"`
+	Listen   address `long:"listen" required:"true" value-name:"ADDRESS"`
+	Target   address `long:"target" required:"true" value-name:"ADDRESS"`
+}
+
+// Execute implements flags.Commander.
+func (c *proxyCommand) Execute([]string) error {
+	ctx, stop := lifetime()
+	defer stop()
+	start := proxy.TCP
+	if c.Protocol == "udp" {
+		start = proxy.UDP
+	}
+	p, _, end, err := start(c.Listen.AddrPort, c.Target.AddrPort)
+	if err != nil {
+		return err
+	}
+	defer end()
+	err = c.serve(ctx, map[string]func(*json.Decoder) error{
+		"/faults": func(dec *json.Decoder) error {
+			var f proxy.Faults
+			if err := dec.Decode(&f); err != nil {
+				return err
+			}
+			p.SetFaults(f)
+			return nil
+		},
+		"/silence": func(*json.Decoder) error {
+			p.Silence()
+			return nil
+		},
+	})
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/cmd/standins/store.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"encoding/json"
+
+	"greengagedyke/standin/store"
+)
+
+const storeUsage = "Run the platform's key-value service"
+
+type storeCommand struct {
+	controlOptions
+	Listen address `long:"listen" required:"true" value-name:"ADDRESS"`
+}
+
+// Execute implements flags.Commander.
+func (c *storeCommand) Execute([]string) error {
+	ctx, stop := lifetime()
+	defer stop()
+	s, _, end, err := store.Start(c.Listen.AddrPort)
+	if err != nil {
+		return err
+	}
+	defer end()
+	err = c.serve(ctx, map[string]func(*json.Decoder) error{
+		"/faults": func(dec *json.Decoder) error {
+			var f store.Faults
+			if err := dec.Decode(&f); err != nil {
+				return err
+			}
+			s.SetFaults(f)
+			return nil
+		},
+	})
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/cmd/standins/upstream.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"encoding/json"
+	"time"
+
+	"greengagedyke/standin/upstream"
+)
+
+const upstreamUsage = "Run an upstream with slots, feeds and an audit"
+
+type upstreamCommand struct {
+	controlOptions
+	Listen       address       `long:"listen" required:"true" value-name:"ADDRESS"`
+	Service      string        `long:"service" required:"true"`
+	Identity     string        `long:"identity" required:"true"`
+	Slots        int           `long:"slots" default:"2"`
+	Short        time.Duration `long:"short" default:"10ms" description:"how long a short read takes"`
+	Swap         time.Duration `long:"swap" default:"10ms" description:"how long a swap takes"`
+	Download     time.Duration `long:"download" default:"200ms" description:"how long a download takes"`
+	FeedInterval time.Duration `long:"feed-interval" default:"100ms" description:"time between events of a feed"`
+	Cold         time.Duration `long:"cold" default:"0s" description:"how long everything takes twice as long"`
+	LyingHealth  bool          `long:"lying-health" description:"claim to be unhealthy"`
+}
+
+// Execute implements flags.Commander.
+func (c *upstreamCommand) Execute([]string) error {
+	ctx, stop := lifetime()
+	defer stop()
+	u, _, end, err := upstream.Start(upstream.Options{
+		Addr:         c.Listen.AddrPort,
+		Service:      c.Service,
+		Identity:     c.Identity,
+		Slots:        c.Slots,
+		Short:        c.Short,
+		Swap:         c.Swap,
+		Download:     c.Download,
+		FeedInterval: c.FeedInterval,
+		Cold:         c.Cold,
+		LyingHealth:  c.LyingHealth,
+	})
+	if err != nil {
+		return err
+	}
+	defer end()
+	err = c.serve(ctx, map[string]func(*json.Decoder) error{
+		"/die-after": func(dec *json.Decoder) error {
+			var n int
+			if err := dec.Decode(&n); err != nil {
+				return err
+			}
+			u.DieAfter(n)
+			return nil
+		},
+	})
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
--- a/demo/site.go
+++ b/demo/site.go
@@ -21,6 +21,8 @@
 	"greengagedyke/operator"
 	"greengagedyke/service"
 	"greengagedyke/sidecar"
+	"greengagedyke/standin/block"
+	"greengagedyke/standin/certificate"
 	"greengagedyke/standin/fabric"
 	"greengagedyke/standin/load"
 	"greengagedyke/standin/store"
@@ -71,7 +73,7 @@
 type Site struct {
 	Spec
 	log   *slog.Logger
-	block byte
+	block block.Block
 	dir   string
 	roots *x509.CertPool
 
@@ -132,14 +134,6 @@
 	}
 }
 
-func (s *Site) ip(kind, n int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, s.block, byte(kind), byte(n)})
-}
-
-func (s *Site) addr(kind, n int, port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(s.ip(kind, n), port)
-}
-
 // Kinds of addresses within a site's block.
 const (
 	kindStore = iota
@@ -149,26 +143,19 @@
 	kindService
 )
 
-// claimBlock takes a block of loopback addresses that no other site uses: the one
-// whose store can be bound.
-func (s *Site) claimBlock() error {
-	const firstBlock, lastBlock = 16, 250
-	for b := firstBlock; b <= lastBlock; b++ {
-		s.block = byte(b)
-		st, _, stop, err := store.Start(s.addr(kindStore, 1, storePort))
-		if err == nil {
-			s.Store = st
-			s.onClose(stop)
-			return nil
-		}
-	}
-	return errors.New("no block of loopback addresses is free")
-}
-
 func (s *Site) start(ctx context.Context) error {
-	if err := s.claimBlock(); err != nil {
+	claimed, release, err := block.Claim()
+	if err != nil {
+		return err
+	}
+	s.block = claimed
+	s.onClose(release)
+	st, _, stopStore, err := store.Start(s.block.Addr(kindStore, 1, storePort))
+	if err != nil {
 		return err
 	}
+	s.Store = st
+	s.onClose(stopStore)
 	if err := s.makeCertificates(); err != nil {
 		return err
 	}
@@ -178,7 +165,7 @@
 	for i := 1; i <= s.Balancers; i++ {
 		s.StartBalancer(i)
 	}
-	s.API = operator.NewClient(s.addr(kindBalancer, 1, apiPort), apiToken, http.DefaultTransport)
+	s.API = operator.NewClient(s.block.Addr(kindBalancer, 1, apiPort), apiToken, http.DefaultTransport)
 	if err := s.apply(ctx); err != nil {
 		return err
 	}
@@ -201,7 +188,7 @@
 	}
 	s.dir = dir
 	s.onClose(func() { os.RemoveAll(dir) })
-	s.roots, err = writeCertificates(s.certificateFile(), s.keyFile(), serverName)
+	s.roots, err = certificate.Write(s.certificateFile(), s.keyFile(), serverName)
 	return err
 }
 
@@ -212,7 +199,7 @@
 
 // ServiceAddress is the address of the n-th service, counted from 0.
 func (s *Site) ServiceAddress(n int) netip.AddrPort {
-	return s.addr(kindService, n+1, servicePort+uint16(n))
+	return s.block.Addr(kindService, n+1, servicePort+uint16(n))
 }
 
 func (s *Site) apply(ctx context.Context) error {
@@ -252,7 +239,7 @@
 	var peers []netip.AddrPort
 	for i := 1; i <= s.Balancers; i++ {
 		if i != n {
-			peers = append(peers, s.addr(kindBalancer, i, controlPort))
+			peers = append(peers, s.block.Addr(kindBalancer, i, controlPort))
 		}
 	}
 	cfg := &balancer.Settings{
@@ -260,11 +247,11 @@
 		FailureDomain: s.domain(n),
 		Secret:        []byte(secret),
 		APIToken:      apiToken,
-		Tunnel:        s.addr(kindBalancer, n, tunnelPort),
-		Control:       s.addr(kindBalancer, n, controlPort),
-		API:           s.addr(kindBalancer, n, apiPort),
-		ServiceIP:     s.ip(kindBalancer, n),
-		Store:         s.addr(kindStore, 1, storePort),
+		Tunnel:        s.block.Addr(kindBalancer, n, tunnelPort),
+		Control:       s.block.Addr(kindBalancer, n, controlPort),
+		API:           s.block.Addr(kindBalancer, n, apiPort),
+		ServiceIP:     s.block.IP(kindBalancer, n),
+		Store:         s.block.Addr(kindStore, 1, storePort),
 		Peers:         peers,
 	}
 	p := s.run(func(ctx, abort context.Context) error {
@@ -295,7 +282,7 @@
 	defer s.mu.Unlock()
 	var ips []netip.Addr
 	for n := range s.balancers {
-		ips = append(ips, s.ip(kindBalancer, n))
+		ips = append(ips, s.block.IP(kindBalancer, n))
 	}
 	s.Fabric.SetBalancers(ips)
 }
@@ -312,7 +299,7 @@
 
 func (s *Site) startUpstream(svc string, i, n int) error {
 	o := s.Upstream
-	o.Addr = s.addr(kindUpstream, n, upstreamPort)
+	o.Addr = s.block.Addr(kindUpstream, n, upstreamPort)
 	o.Service = svc
 	o.Identity = identity(svc, i)
 	o.Slots = s.Slots
@@ -329,16 +316,16 @@
 func (s *Site) startSidecar(svc string, i, n int) {
 	var balancers []netip.AddrPort
 	for b := 1; b <= s.Balancers; b++ {
-		balancers = append(balancers, s.addr(kindBalancer, b, controlPort))
+		balancers = append(balancers, s.block.Addr(kindBalancer, b, controlPort))
 	}
 	cfg := &sidecar.Settings{
 		Identity:        identity(svc, i),
 		FailureDomain:   s.domain(n),
 		Secret:          []byte(secret),
 		Service:         svc,
-		Tunnel:          s.addr(kindSidecar, n, tunnelPort),
-		Sibling:         s.addr(kindSidecar, n, controlPort),
-		Upstream:        s.addr(kindUpstream, n, upstreamPort),
+		Tunnel:          s.block.Addr(kindSidecar, n, tunnelPort),
+		Sibling:         s.block.Addr(kindSidecar, n, controlPort),
+		Upstream:        s.block.Addr(kindUpstream, n, upstreamPort),
 		Slots:           s.Slots,
 		Balancers:       balancers,
 		CertificateFile: s.certificateFile(),
--- /dev/null
+++ b/scripts/scripts_test.go
@@ -0,0 +1,162 @@
+package scripts
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"greengagedyke/standin/block"
+)
+
+const awaitLimit = 20 * time.Second
+
+func TestScripts(t *testing.T) {
+	bin := t.TempDir()
+	for _, name := range []string{"greengagedyke", "standins"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(bin, name), "greengagedyke/cmd/"+name)
+		if out, err := build.CombinedOutput(); err != nil {
+			t.Fatalf("building %s: %v\n%s", name, err, out)
+		}
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			b, release, err := block.Claim()
+			if err != nil {
+				return err
+			}
+			env.Defer(release)
+			env.Setenv("PATH", bin+string(os.PathListSeparator)+env.Getenv("PATH"))
+			env.Setenv("B", fmt.Sprintf("127.%d", b))
+			env.Setenv("GREENGAGEDYKE_TOKEN", "script-token")
+			return writeSettings(env, fmt.Sprintf("127.%d", b))
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"await":  await,
+			"put":    put,
+			"signal": sendSignal,
+			"pause":  pause,
+		},
+	})
+}
+
+// await runs a command until it succeeds, and with a first argument in quotes until
+// its output contains that.
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	want := args[0]
+	var out []byte
+	for deadline := time.Now().Add(awaitLimit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		cmd := exec.Command(filepath.Join(binDir(ts), args[1]), args[2:]...)
+		cmd.Env = append(os.Environ(), "GREENGAGEDYKE_TOKEN="+ts.Getenv("GREENGAGEDYKE_TOKEN"))
+		cmd.Dir = ts.Getenv("WORK")
+		var err error
+		out, err = cmd.CombinedOutput()
+		if err == nil && strings.Contains(string(out), want) {
+			return
+		}
+	}
+	ts.Fatalf("%q never came: %s", want, out)
+}
+
+func binDir(ts *testscript.TestScript) string {
+	first, _, _ := strings.Cut(ts.Getenv("PATH"), string(os.PathListSeparator))
+	return first
+}
+
+func put(ts *testscript.TestScript, _ bool, args []string) {
+	request, err := http.NewRequest(http.MethodPut, args[0], bytes.NewBufferString(args[1]))
+	ts.Check(err)
+	response, err := http.DefaultClient.Do(request)
+	ts.Check(err)
+	response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		ts.Fatalf("put %s: %s", args[0], response.Status)
+	}
+}
+
+// sendSignal sends a signal to the background process whose arguments contain a text.
+func sendSignal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}
+	for _, cmd := range ts.BackgroundCmds() {
+		if strings.Contains(strings.Join(cmd.Args, " "), args[1]) {
+			ts.Check(cmd.Process.Signal(signals[args[0]]))
+			return
+		}
+	}
+	ts.Fatalf("no process with %q", args[1])
+}
+
+func pause(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
+
+// writeSettings writes settings for up to three balancers and three sidecars of
+// rota-core and one of sheet-render, and the declarations of both services.
+func writeSettings(env *testscript.Env, b string) error {
+	files := map[string]string{}
+	for i := 1; i <= 3; i++ {
+		files[fmt.Sprintf("balancer-%d.json", i)] = fmt.Sprintf(`{
+	// balancer %[1]d
+	"identity": "balancer-%[1]d",
+	"failure-domain": "tx-central-a",
+	"secret": "00112233445566778899aabbccddeeff",
+	"api-token": "script-token",
+	"tunnel-address": "%[2]s.1.%[1]d:7000",
+	"control-address": "%[2]s.1.%[1]d:7001",
+	"api-address": "%[2]s.1.%[1]d:7002",
+	"service-ip": "%[2]s.1.%[1]d",
+	"store-address": "%[2]s.0.1:9000",
+	"peers": ["%[2]s.1.1:7001", "%[2]s.1.2:7001"],
+}`, i, b)
+	}
+	for i, svc := range []string{"rota-core", "rota-core", "rota-core", "sheet-render"} {
+		files[fmt.Sprintf("sidecar-%d.json", i+1)] = fmt.Sprintf(`{
+	"identity": "sidecar-%[1]d",
+	"failure-domain": "tx-central-a",
+	"secret": "00112233445566778899aabbccddeeff",
+	"service": "%[3]s",
+	"tunnel-address": "%[2]s.2.%[1]d:7000",
+	"sibling-address": "%[2]s.2.%[1]d:7001",
+	"upstream-address": "%[2]s.3.%[1]d:8000",
+	"slots": 2,
+	"balancers": ["%[2]s.1.1:7001", "%[2]s.1.2:7001"],
+	"certificate-file": "certificate.pem",
+	"key-file": "key.pem",
+}`, i+1, b, svc)
+	}
+	for i, svc := range []string{"rota-core", "sheet-render"} {
+		files["declarations/"+svc+".json"] = fmt.Sprintf(`{
+	"name": "%[1]s",
+	"address": "%[2]s.10.%[3]d:443%[3]d",
+	"routes": [
+		{"method": "GET", "path-prefix": "/feed", "class": "flow"},
+		{"method": "POST", "path-prefix": "/swap", "class": "non-idempotent", "deadline": "5s"},
+		{"method": "GET", "path-prefix": "/short", "class": "idempotent", "priority": 1, "deadline": "5s"},
+		{"method": "GET", "path-prefix": "/download", "class": "idempotent", "long": true, "priority": 2, "deadline": "20s"},
+	],
+}`, svc, b, i+1)
+	}
+	for name, text := range files {
+		path := filepath.Join(env.WorkDir, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+			return err
+		}
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -24,7 +24,7 @@
 	maxBids = 3
 	// queueBidsPerSlot bounds the requests of this sidecar that wait in siblings'
 	// queues: enough to keep a sibling's slots busy, and no more talk than that.
-	queueBidsPerSlot = 1
+	queueBidsPerSlot = 2
 )
 
 // Dispatcher decides where requests run. It implements caller.Dispatcher.
@@ -206,7 +206,9 @@
 		cancel()
 		go withdraw(bids, open)
 	}()
-	start(d.firstPlace(r, tried))
+	for _, identity := range d.firstPlaces(r, tried) {
+		start(identity)
+	}
 	spread := time.NewTicker(spreadInterval)
 	defer spread.Stop()
 	var lastErr error = work.ErrOverload
@@ -257,19 +259,30 @@
 	}
 }
 
-// firstPlace returns where a request asks for a slot first: the best place with a
-// free slot, or when there is none, the own queue.
-func (d *Dispatcher) firstPlace(r *work.Request, tried map[string]bool) string {
+// firstPlaces returns where a request asks for a slot first: the best place with a
+// free slot, or when none is known, the own queue and the shortest other, whose
+// report may be old.
+func (d *Dispatcher) firstPlaces(r *work.Request, tried map[string]bool) []string {
 	switch d.baseline {
 	case BaselineLocal:
-		return d.identity
+		return []string{d.identity}
 	case BaselineRandom:
-		return d.siblings.anyPlace()
+		return []string{d.siblings.anyPlace()}
 	}
 	if identity, ok := d.siblings.pick(d.slots.Load(), r.Route.Long, tried); ok {
-		return identity
+		return []string{identity}
+	}
+	var places []string
+	if !d.leaving() && !tried[d.identity] {
+		places = append(places, d.identity)
+	}
+	if d.bidsUpTo(r.Route.Priority) >= queueBidsPerSlot*d.slotCount {
+		return places
+	}
+	if identity, ok := d.siblings.pickQueue(r.Route.Priority, false, tried); ok {
+		places = append(places, identity)
 	}
-	return d.nextPlace(r, tried)
+	return places
 }
 
 // nextPlace returns a place for a request that waits nowhere: the own queue, then
--- a/demo/certificate.go
+++ b/standin/certificate/certificate.go
@@ -1,4 +1,5 @@
-package demo
+// Package certificate makes self-signed certificates for tests and the demo.
+package certificate
 
 import (
 	"crypto/ecdsa"
@@ -14,12 +15,12 @@
 	"github.com/pkg/errors"
 )
 
-// writeCertificates writes a self-signed certificate for name and its key, and
+// Write writes a self-signed certificate for name and its key, and
 // returns the pool in which callers trust it.
-func writeCertificates(certificateFile, keyFile, name string) (*x509.CertPool, error) {
+func Write(certificateFile, keyFile, name string) (*x509.CertPool, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
-		return nil, errors.Wrap(err, "demo.writeCertificates")
+		return nil, errors.Wrap(err, "certificate.Write")
 	}
 	template := &x509.Certificate{
 		SerialNumber:          big.NewInt(1),
@@ -32,19 +33,19 @@
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
 	if err != nil {
-		return nil, errors.Wrap(err, "demo.writeCertificates")
+		return nil, errors.Wrap(err, "certificate.Write")
 	}
 	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
 	if err != nil {
-		return nil, errors.Wrap(err, "demo.writeCertificates")
+		return nil, errors.Wrap(err, "certificate.Write")
 	}
 	certificatePEM := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
 	if err := os.WriteFile(certificateFile, certificatePEM, 0o600); err != nil {
-		return nil, errors.Wrap(err, "demo.writeCertificates")
+		return nil, errors.Wrap(err, "certificate.Write")
 	}
 	keyPEM := pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER})
 	if err := os.WriteFile(keyFile, keyPEM, 0o600); err != nil {
-		return nil, errors.Wrap(err, "demo.writeCertificates")
+		return nil, errors.Wrap(err, "certificate.Write")
 	}
 	pool := x509.NewCertPool()
 	pool.AppendCertsFromPEM(certificatePEM)
--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -4,7 +4,6 @@
 package fabric
 
 import (
-	"context"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -196,18 +195,3 @@
 		}
 	})
 }
-
-// Run serves addresses until ctx ends.
-func Run(ctx context.Context, addresses []netip.AddrPort, balancers []netip.Addr, faults Faults) error {
-	f, stop := New()
-	defer stop()
-	f.SetBalancers(balancers)
-	f.SetFaults(faults)
-	for _, a := range addresses {
-		if err := f.Serve(a); err != nil {
-			return err
-		}
-	}
-	<-ctx.Done()
-	return nil
-}
--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -317,3 +318,12 @@
 
 // SetWriteDeadline implements net.PacketConn.
 func (c *Conn) SetWriteDeadline(t time.Time) error { return c.udp.SetWriteDeadline(t) }
+
+// SetReadBuffer sets the size of the kernel's receive buffer.
+func (c *Conn) SetReadBuffer(n int) error { return c.udp.SetReadBuffer(n) }
+
+// SetWriteBuffer sets the size of the kernel's send buffer.
+func (c *Conn) SetWriteBuffer(n int) error { return c.udp.SetWriteBuffer(n) }
+
+// SyscallConn gives access to the socket, by which its buffers are inspected.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.udp.SyscallConn() }
--- a/work/balance.go
+++ b/work/balance.go
@@ -216,9 +216,16 @@
 	return best.Identity, true
 }
 
+// less orders places by what is ahead of a request with this priority, then by the
+// whole queue, then by the busy share.
 func (s *siblingLoad) less(o *siblingLoad, priority int) bool {
-	if s.queue(priority) != o.queue(priority) {
-		return s.queue(priority) < o.queue(priority)
+	for _, p := range []int{priority, Priorities - 1} {
+		if s.queue(p) != o.queue(p) {
+			return s.queue(p) < o.queue(p)
+		}
+	}
+	if s.use() != o.use() {
+		return s.use() < o.use()
 	}
 	return s.Identity < o.Identity
 }
--- a/work/scheduler.go
+++ b/work/scheduler.go
@@ -23,6 +23,9 @@
 	shortUse = 0.5
 	// busyWindow is the time constant of the busy share.
 	busyWindow = 5 * time.Second
+	// shortWindow is the time constant of the slots that short requests hold. It is
+	// short, so that a swing of demand takes slots from long work at once.
+	shortWindow = time.Second
 )
 
 // Errors of a scheduler. All mean that the request was not run.
@@ -343,13 +346,13 @@
 	if dt <= 0 {
 		return
 	}
-	s.busy = decay(s.busy, float64(len(s.running))/float64(s.slots), dt)
-	s.short = decay(s.short, float64(len(s.running)-s.longRunning()), dt)
+	s.busy = decay(s.busy, float64(len(s.running))/float64(s.slots), dt, busyWindow)
+	s.short = decay(s.short, float64(len(s.running)-s.longRunning()), dt, shortWindow)
 	s.busyAt = now
 }
 
-func decay(old, current float64, dt time.Duration) float64 {
-	keep := 1 / (1 + float64(dt)/float64(busyWindow))
+func decay(old, current float64, dt, window time.Duration) float64 {
+	keep := 1 / (1 + float64(dt)/float64(window))
 	return old*keep + current*(1-keep)
 }
 
