--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -133,6 +133,9 @@
 
 // leave tells sidecars to answer through other balancers, and forwards until they do.
 func (b *Balancer) leave(abort context.Context) {
+	if abort.Err() != nil {
+		return
+	}
 	b.log.Info("balancer-leaving")
 	b.node.UpdateSelf(func(r *member.Record) { r.State = member.StateLeaving })
 	pause(abort, leaveNotice)
--- a/control/announcer.go
+++ b/control/announcer.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// Run announces until ctx ends, announces a last time, and then closes done.
+// Run announces until ctx ends, and then closes done.
 func (a *Announcer) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	t := time.NewTicker(announceInterval)
@@ -65,7 +65,6 @@
 		a.round(&wg)
 		select {
 		case <-ctx.Done():
-			a.round(&wg)
 			wg.Wait()
 			a.closeAll()
 			return
--- a/demo/site.go
+++ b/demo/site.go
@@ -25,6 +25,7 @@
 	"greengagedyke/standin/certificate"
 	"greengagedyke/standin/fabric"
 	"greengagedyke/standin/load"
+	"greengagedyke/standin/proxy"
 	"greengagedyke/standin/store"
 	"greengagedyke/standin/upstream"
 )
@@ -47,12 +48,15 @@
 	// Upstream describes how long work takes; its addresses are filled in.
 	Upstream upstream.Options
 	Baseline sidecar.Baseline
+	// Proxied puts a fault-injecting proxy in front of each sidecar's siblings.
+	Proxied bool
 }
 
 const (
 	storePort    = 9000
 	tunnelPort   = 7000
 	controlPort  = 7001
+	proxyPort    = 7003
 	apiPort      = 7002
 	upstreamPort = 8000
 	servicePort  = 4430
@@ -87,18 +91,24 @@
 	sidecars  map[string]*process
 	Upstreams map[string]*upstream.Upstream
 	Loads     map[string]*load.Load
+	// Proxies are the proxies between siblings, by the identity of the sidecar behind.
+	Proxies map[string]*proxy.Proxy
+	// Registries hold the metrics of sidecars, by identity.
+	Registries map[string]metrics.Registry
 }
 
 // NewSite starts a deployment and applies its services through a balancer's API.
 // The clean-up function ends everything.
 func NewSite(ctx context.Context, log *slog.Logger, spec Spec) (*Site, func(), error) {
 	s := &Site{
-		Spec:      spec,
-		log:       log,
-		balancers: map[int]*process{},
-		sidecars:  map[string]*process{},
-		Upstreams: map[string]*upstream.Upstream{},
-		Loads:     map[string]*load.Load{},
+		Spec:       spec,
+		log:        log,
+		balancers:  map[int]*process{},
+		sidecars:   map[string]*process{},
+		Upstreams:  map[string]*upstream.Upstream{},
+		Loads:      map[string]*load.Load{},
+		Proxies:    map[string]*proxy.Proxy{},
+		Registries: map[string]metrics.Registry{},
 	}
 	if err := s.start(ctx); err != nil {
 		s.close()
@@ -309,11 +319,12 @@
 	}
 	s.onClose(stop)
 	s.Upstreams[o.Identity] = u
-	s.startSidecar(svc, i, n)
-	return nil
+	return s.StartSidecar(svc, i, n)
 }
 
-func (s *Site) startSidecar(svc string, i, n int) {
+// StartSidecar starts the i-th sidecar of a service, on the n-th sidecar address of
+// the site.
+func (s *Site) StartSidecar(svc string, i, n int) error {
 	var balancers []netip.AddrPort
 	for b := 1; b <= s.Balancers; b++ {
 		balancers = append(balancers, s.block.Addr(kindBalancer, b, controlPort))
@@ -333,12 +344,56 @@
 		Baseline:        s.Baseline,
 	}
 	cfg.Defaults()
+	if s.Proxied {
+		cfg.SiblingPublic = s.block.Addr(kindSidecar, n, proxyPort)
+		if err := s.startProxy(cfg); err != nil {
+			return err
+		}
+	}
+	registry := metrics.NewRegistry()
 	p := s.run(func(ctx, abort context.Context) error {
-		return sidecar.Run(ctx, abort, s.log, cfg, metrics.NewRegistry())
+		return sidecar.Run(ctx, abort, s.log, cfg, registry)
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sidecars[cfg.Identity] = p
+	s.Registries[cfg.Identity] = registry
+	return nil
+}
+
+func (s *Site) startProxy(cfg *sidecar.Settings) error {
+	if s.Proxies[cfg.Identity] != nil {
+		return nil
+	}
+	p, _, stop, err := proxy.TCP(cfg.SiblingPublic, cfg.Sibling)
+	if err != nil {
+		return err
+	}
+	s.onClose(stop)
+	s.Proxies[cfg.Identity] = p
+	return nil
+}
+
+// KillSidecar ends a sidecar as a crash would.
+func (s *Site) KillSidecar(identity string) error {
+	s.mu.Lock()
+	p := s.sidecars[identity]
+	delete(s.sidecars, identity)
+	s.mu.Unlock()
+	p.abort()
+	p.stop()
+	return p.wait()
+}
+
+// Count is the value of a sidecar's counter.
+func (s *Site) Count(identity, name string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.Registries[identity].Get(name).(metrics.Counter)
+	if !ok {
+		return 0
+	}
+	return c.Count()
 }
 
 // DrainSidecar asks a sidecar to leave and returns a channel with its end.
--- a/demo/site_test.go
+++ b/demo/site_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"greengagedyke/standin/fabric"
 	"greengagedyke/standin/load"
 	"greengagedyke/standin/upstream"
 )
@@ -71,3 +72,5 @@
 	}
 	t.Logf("%+v %+v %+v", result, result.Counts[load.KindSwap], result.Counts[load.KindShort])
 }
+
+var fabricFaults = fabric.Faults{Loss: 0.02, Duplicate: 0.05, Reorder: 0.05, Delay: time.Millisecond}
--- a/member/record.go
+++ b/member/record.go
@@ -32,6 +32,9 @@
 	return names[s]
 }
 
+// TakesWork reports whether a process in this state stays for a while.
+func (s State) TakesWork() bool { return s == StateStarting || s == StateReady }
+
 // Role is the kind of a process.
 type Role uint8
 
--- a/sibling/client.go
+++ b/sibling/client.go
@@ -195,6 +195,30 @@
 	return errors.Wrap(c.peer.Call(ctx, call, &a), "sibling.Client.Unclaim")
 }
 
+// ErrNotTaken means that the sibling did not take over everything.
+var ErrNotTaken = errors.New("sibling: the handover was not taken")
+
+// Handover passes on what this sidecar knows of keys.
+func (c *Client) Handover(ctx context.Context, list []work.Kept) error {
+	m := &Handover{}
+	for _, k := range list {
+		kept := &Kept{Key: k.Key, RequestId: k.RequestID, State: k.State.String()}
+		if k.Answer != nil {
+			kept.Head = headTo(k.Answer.Head)
+			kept.Body = k.Answer.Body
+		}
+		m.Kept = append(m.Kept, kept)
+	}
+	var a HandoverAnswer
+	if err := c.peer.Call(ctx, &Call{Handover: m}, &a); err != nil {
+		return errors.WithMessage(ErrLost, err.Error())
+	}
+	if !a.Taken {
+		return ErrNotTaken
+	}
+	return nil
+}
+
 // Notify tells the sibling about this sidecar's slots and returns the sibling's.
 func (c *Client) Notify(ctx context.Context, identity string, l work.Load) error {
 	var a LoadNotice
--- a/sibling/server.go
+++ b/sibling/server.go
@@ -32,6 +32,7 @@
 type Upstream interface {
 	Run(ctx context.Context, r *work.Request, sink work.Sink) work.Outcome
 	Unclaim(key, id string)
+	Import(k work.Kept, holder string) error
 }
 
 // Holder answers for requests that this sidecar holds or has run.
@@ -45,23 +46,26 @@
 type Server struct {
 	log      *slog.Logger
 	identity string
-	target   Target
-	slots    Slots
-	upstream Upstream
-	holder   Holder
-	foreign  metrics.Counter
+	// holderName is how claims name this incarnation.
+	holderName string
+	target     Target
+	slots      Slots
+	upstream   Upstream
+	holder     Holder
+	foreign    metrics.Counter
 }
 
 // NewServer returns a server for the sidecar that target describes.
-func NewServer(log *slog.Logger, identity string, target Target, slots Slots, upstream Upstream, holder Holder, r metrics.Registry) *Server {
+func NewServer(log *slog.Logger, identity, holderName string, target Target, slots Slots, upstream Upstream, holder Holder, r metrics.Registry) *Server {
 	return &Server{
-		log:      log,
-		identity: identity,
-		target:   target,
-		slots:    slots,
-		upstream: upstream,
-		holder:   holder,
-		foreign:  metrics.NewRegisteredCounter("sibling.refused.wrong-target", r),
+		log:        log,
+		identity:   identity,
+		holderName: holderName,
+		target:     target,
+		slots:      slots,
+		upstream:   upstream,
+		holder:     holder,
+		foreign:    metrics.NewRegisteredCounter("sibling.refused.wrong-target", r),
 	}
 }
 
@@ -81,6 +85,8 @@
 	case c.Unclaim != nil:
 		v.upstream.Unclaim(c.Unclaim.Key, c.Unclaim.RequestId)
 		v.answer(s, &ClaimAnswer{})
+	case c.Handover != nil:
+		v.handover(s, c.Handover)
 	case c.Load != nil:
 		v.holder.Report(c.Load.Identity, loadFrom(c.Load))
 		v.answer(s, loadTo(v.identity, v.slots.Load()))
@@ -237,6 +243,20 @@
 	v.answer(s, &ClaimAnswer{RequestId: held.RequestID, Holder: held.Holder, State: state.String()})
 }
 
+func (v *Server) handover(s *session.Stream, h *Handover) {
+	taken := true
+	for _, m := range h.Kept {
+		k := work.Kept{Key: m.Key, RequestID: m.RequestId, State: work.ParseState(m.State)}
+		if m.Head != nil {
+			k.Answer = &work.Answer{Head: headFrom(m.Head), Body: m.Body}
+		}
+		if err := v.upstream.Import(k, v.holderName); err != nil {
+			taken = false
+		}
+	}
+	v.answer(s, &HandoverAnswer{Taken: taken})
+}
+
 func reason(err error) string {
 	switch {
 	case errors.Is(err, work.ErrDeadline):
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -24,6 +24,8 @@
 	Tunnel netip.AddrPort `json:"tunnel-address"`
 	// Sibling is the TCP address for sessions from siblings.
 	Sibling netip.AddrPort `json:"sibling-address"`
+	// SiblingPublic is the address by which siblings reach Sibling, if it differs.
+	SiblingPublic netip.AddrPort `json:"sibling-public-address,omitempty"`
 	// Upstream is the HTTP/1.1 address of the local upstream.
 	Upstream   netip.AddrPort `json:"upstream-address"`
 	HealthPath string         `json:"health-path"`
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -78,7 +78,7 @@
 	defer ln.Close()
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	s.node = control.NewNode(s.log, s.record(ln.Addr().(*net.TCPAddr).AddrPort()))
+	s.node = control.NewNode(s.log, s.record())
 	s.announcer = control.NewAnnouncer(s.log, s.node, s.credentials, s.cfg.Balancers)
 	stopAnnouncer := waitFor(life, end, s.announcer.Run)
 	defer stopAnnouncer()
@@ -111,7 +111,11 @@
 	}
 }
 
-func (s *Sidecar) record(control netip.AddrPort) member.Record {
+func (s *Sidecar) record() member.Record {
+	control := s.cfg.Sibling
+	if s.cfg.SiblingPublic.IsValid() {
+		control = s.cfg.SiblingPublic
+	}
 	return member.Record{
 		Role:          member.RoleSidecar,
 		Identity:      s.cfg.Identity,
@@ -223,7 +227,7 @@
 func (s *Sidecar) server() *sibling.Server {
 	self := s.node.Self()
 	target := sibling.Target{ServiceTag: service.Tag(self.Service), Incarnation: self.Incarnation}
-	return sibling.NewServer(s.log, self.Identity, target, s.slots, s.upstream, s.dispatcher.holdings, s.registry)
+	return sibling.NewServer(s.log, self.Identity, s.dispatcher.holder, target, s.slots, s.upstream, s.dispatcher.holdings, s.registry)
 }
 
 func (s *Sidecar) routes() service.Routes {
@@ -313,9 +317,13 @@
 	return addrs
 }
 
-// leave takes no new work, asks callers to go elsewhere, and waits until the
-// requests and feeds that are open have ended.
+// leave takes no new work, asks callers to go elsewhere, waits until the requests
+// and feeds that are open have ended, and hands over what it knows of keys. One that
+// is aborted does not say that it has left, so that others count it as lost.
 func (s *Sidecar) leave(abort context.Context) error {
+	if abort.Err() != nil {
+		return nil
+	}
 	s.log.Info("sidecar-leaving")
 	s.leaving.Store(true)
 	s.node.UpdateSelf(func(r *member.Record) { r.State = member.StateLeaving })
@@ -327,8 +335,13 @@
 	}
 	if err := s.front.Drain(abort); err != nil {
 		s.log.Warn("sidecar-drain-aborted", "error", err.Error())
+		return nil
 	}
 	s.slots.WaitIdle(abort)
+	if err := s.dispatcher.handOver(abort); err != nil {
+		s.log.Warn("sidecar-handover-failed", "error", err.Error())
+		return nil
+	}
 	s.node.UpdateSelf(func(r *member.Record) { r.State = member.StateGone })
 	s.announcer.Announce()
 	s.log.Info("sidecar-ended")
--- a/upstream/ledger.go
+++ b/upstream/ledger.go
@@ -25,6 +25,20 @@
 	c.ledger.Unclaim(key, id)
 }
 
+// Export returns what is known of all keys whose requests have ended.
+func (c *Client) Export() []work.Kept {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Export()
+}
+
+// Import takes over what another sidecar knew of a key.
+func (c *Client) Import(k work.Kept, holder string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Import(time.Now(), k, holder)
+}
+
 // Fetch waits until a request has ended and returns what became of it. With mark
 // set, a request that has not begun never will.
 func (c *Client) Fetch(ctx context.Context, id string, mark bool) (work.State, *work.Answer) {
--- a/work/ledger.go
+++ b/work/ledger.go
@@ -180,6 +180,49 @@
 	}
 }
 
+// Kept is what a ledger knows of one key, as it is handed to another ledger.
+type Kept struct {
+	Key       string
+	RequestID string
+	State     State
+	Answer    *Answer
+}
+
+// Export returns what is known of all keys whose requests have ended.
+func (l *Ledger) Export() []Kept {
+	var list []Kept
+	for key, c := range l.byKey {
+		r, ok := l.records[c.id]
+		if !ok {
+			list = append(list, Kept{Key: key, RequestID: c.id, State: StateNone})
+			continue
+		}
+		if r.state != StateRunning {
+			list = append(list, Kept{Key: key, RequestID: c.id, State: r.state, Answer: r.answer})
+		}
+	}
+	return list
+}
+
+// Import takes over what another ledger knew of a key; holder is the name of this
+// ledger's sidecar. What this ledger knows itself is not replaced.
+func (l *Ledger) Import(now time.Time, k Kept, holder string) error {
+	if len(l.records) >= maxRecords {
+		return ErrLedgerFull
+	}
+	c, claimed := l.byKey[k.Key]
+	if claimed && c.id != k.RequestID {
+		return nil
+	}
+	l.byKey[k.Key] = claim{id: k.RequestID, holder: holder, at: now}
+	if _, ok := l.records[k.RequestID]; ok || k.State == StateNone {
+		return nil
+	}
+	l.records[k.RequestID] = &record{state: StateRunning, done: make(chan struct{})}
+	l.End(now, k.RequestID, k.State, k.Answer)
+	return nil
+}
+
 // Expire forgets requests that ended long ago.
 func (l *Ledger) Expire(now time.Time) {
 	for id, r := range l.records {
