Look further at once when no slot is known to be free; benchmarks and baselines

Cause: short work whose sidecar knew of no free slot waited 25 ms before it looked elsewhere, on reports up to 250 ms old.

--- a/cmd/greengagedyke/demo.go
+++ b/cmd/greengagedyke/demo.go
@@ -25,8 +25,9 @@
 const demoGCPercent = 400
 
 type demoCommand struct {
-	JSON bool `long:"json" description:"print the result as one JSON object"`
-	Logs bool `long:"logs" description:"print the logs of all processes"`
+	JSON    bool `long:"json" description:"print the result as one JSON object"`
+	Compare bool `long:"compare" description:"run one service with the product and with simpler ways to decide, one after the other"`
+	Logs    bool `long:"logs" description:"print the logs of all processes"`
 }
 
 // Execute implements flags.Commander.
@@ -38,7 +39,11 @@
 	// Some 45 processes share this one's heap and its garbage collector.
 	debug.SetGCPercent(demoGCPercent)
 	progress := io.Writer(os.Stderr)
-	results, err := demo.Run(context.Background(), log, progress)
+	play := demo.Run
+	if c.Compare {
+		play = demo.Compare
+	}
+	results, err := play(context.Background(), log, progress)
 	if err != nil {
 		return err
 	}
--- a/demo/run.go
+++ b/demo/run.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"text/tabwriter"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"greengagedyke/sidecar"
 	"greengagedyke/standin/load"
 	"greengagedyke/standin/upstream"
 )
@@ -56,11 +59,8 @@
 func (rs Results) Print(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(t, "DEPLOYMENT\tBROKEN FLOWS\tLOST\tRUN TWICE\tWRONG SERVICE\tFALSE NOT-RUN\tIMBALANCE\tCREST SERVICE\tCREST GOODPUT\tSHORT P99\tWITH LONG\tRATIO")
-	for _, name := range []string{Bluebonnet, Malabar} {
+	for _, name := range slices.Sorted(maps.Keys(rs)) {
 		r := rs[name]
-		if r == nil {
-			continue
-		}
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.1f%%\t%.1f%%\t%s\t%s\t%.2f\n",
 			name, r.Flows, r.Lost, r.RunTwice, r.WrongService, r.FalseNotRun,
 			r.Imbalance, 100*r.CrestService, 100*r.CrestGoodput, r.ShortP99, r.ShortP99Long, r.ShortRatio)
@@ -96,6 +96,28 @@
 	return results, firstErr
 }
 
+// Compare runs the first deployment's first service once for the product and for
+// each simpler way to decide, one after the other, with the same callers.
+func Compare(ctx context.Context, log *slog.Logger, w io.Writer) (Results, error) {
+	results := Results{}
+	say := func(format string, args ...any) { fmt.Fprintf(w, format+"\n", args...) }
+	for _, baseline := range []sidecar.Baseline{sidecar.BaselineNone, sidecar.BaselineLocal, sidecar.BaselineRandom, sidecar.BaselineFIFO} {
+		spec := Deployments()[0]
+		spec.Services = spec.Services[:1]
+		spec.Baseline = baseline
+		spec.Name = "product"
+		if baseline != sidecar.BaselineNone {
+			spec.Name = "baseline-" + string(baseline)
+		}
+		r, err := runDeployment(ctx, log, spec, say)
+		if err != nil {
+			return results, err
+		}
+		results[spec.Name] = r
+	}
+	return results, nil
+}
+
 type sayFunc func(format string, args ...any)
 
 func runDeployment(ctx context.Context, log *slog.Logger, spec Spec, say sayFunc) (*Result, error) {
@@ -104,7 +126,7 @@
 	began := time.Now()
 	s, stop, err := NewSite(startCtx, log, spec)
 	if err != nil {
-		return nil, err
+		return &Result{}, err
 	}
 	defer stop()
 	say("%-10s  started in %s, configuration in force on all", spec.Name, time.Since(began).Round(time.Millisecond))
@@ -123,12 +145,11 @@
 
 // Lengths of the script's scenes.
 const (
-	warmTime     = 2500 * time.Millisecond
+	warmTime     = 2200 * time.Millisecond
 	shortScene   = 3 * time.Second
-	longScene    = 4 * time.Second
-	failureScene = 4 * time.Second
-	crestScene   = 5 * time.Second
-	drainLimit   = 10 * time.Second
+	longScene    = 3 * time.Second
+	failureScene = 3500 * time.Millisecond
+	crestScene   = 4 * time.Second
 	crestFactor  = 5
 	fabricNotice = 200 * time.Millisecond
 )
@@ -220,8 +241,7 @@
 	time.Sleep(2 * time.Second)
 	c := l.SinceMark().Counts[load.KindSwap]
 	p.result.CrestService = float64(c.Answered-c.Late) / float64(max(1, c.Sent))
-	p.result.CrestGoodput = p.share(before, after, elapsed, func(a upstream.Audit) time.Duration { return a.Useful })
-	p.result.CrestBusy = p.share(before, after, elapsed, func(a upstream.Audit) time.Duration { return a.Work })
+	p.crestShares(before, after, elapsed)
 	p.say("%-10s  at the crest: %.1f%% of swaps in time, goodput %.1f%%", p.Name, 100*p.result.CrestService, 100*p.result.CrestGoodput)
 }
 
@@ -247,15 +267,18 @@
 	return float64(most) * float64(len(after)) / float64(sum)
 }
 
-// share is a part of the upstreams' time over the capacity of their slots. It
-// leaves out the upstream that was drained.
-func (p *play) share(before, after map[string]upstream.Audit, elapsed time.Duration, part func(upstream.Audit) time.Duration) float64 {
-	var sum time.Duration
+// crestShares leaves out the upstream that was drained. Work that is under way is
+// taken to be as useful as the work that ended.
+func (p *play) crestShares(before, after map[string]upstream.Audit, elapsed time.Duration) {
+	var work, ended, useful time.Duration
 	for id, a := range after {
-		sum += part(a) - part(before[id])
+		work += a.Work - before[id].Work
+		ended += a.Ended - before[id].Ended
+		useful += a.Useful - before[id].Useful
 	}
 	capacity := elapsed * time.Duration(p.Slots*(len(after)-1))
-	return float64(sum) / float64(capacity)
+	p.result.CrestBusy = float64(work) / float64(capacity)
+	p.result.CrestGoodput = p.result.CrestBusy * float64(useful) / float64(max(1, ended))
 }
 
 func (p *play) finish() {
--- /dev/null
+++ b/fabric/fabric_test.go
@@ -0,0 +1,313 @@
+package fabric
+
+import (
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/net/ipv4"
+
+	"greengagedyke/quiclb"
+	"greengagedyke/service"
+	"greengagedyke/tunnel"
+)
+
+var secret = []byte("0123456789abcdef")
+
+const payloadLen = 1200
+
+func newCodec(t testing.TB) *quiclb.Codec {
+	t.Helper()
+	c, err := quiclb.NewCodec(quiclb.Key{ID: 1, Secret: secret})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func candidates(n int) service.Candidates {
+	var list service.Candidates
+	for i := range n {
+		ip := netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)})
+		list = append(list, service.Candidate{Addr: netip.AddrPortFrom(ip, 7000), Incarnation: 1, Weight: 1})
+	}
+	return list
+}
+
+func newDecider(t testing.TB, upstreams int) *Decider {
+	t.Helper()
+	return &Decider{Tag: service.Tag("rota-core"), Codec: newCodec(t), Table: service.NewTable(candidates(upstreams))}
+}
+
+// established returns a packet of an established flow to a sidecar.
+func established(c *quiclb.Codec, tag uint32, to netip.AddrPort, nonce uint32) []byte {
+	p := make([]byte, payloadLen)
+	p[0] = 0x40
+	c.Encode(p[1:], quiclb.Route{Addr: to, ServiceTag: tag, Incarnation: 1, Nonce: nonce})
+	return p
+}
+
+// firstFlight returns an Initial packet with a connection ID of the caller's choice.
+func firstFlight(id uint64) []byte {
+	p := make([]byte, payloadLen)
+	p[0] = 0xc0
+	p[4] = 1
+	p[5] = 8
+	binary.BigEndian.PutUint64(p[6:], id)
+	return p
+}
+
+func TestDecide(t *testing.T) {
+	d := newDecider(t, 7)
+	to := netip.MustParseAddrPort("10.1.0.3:7000")
+	foreign := established(d.Codec, service.Tag("sheet-render"), to, 1)
+	handshake := firstFlight(1)
+	handshake[0] = 0xe0
+	tests := []struct {
+		name   string
+		packet []byte
+		drop   Drop
+	}{
+		{"established", established(d.Codec, d.Tag, to, 1), DropNone},
+		{"first-flight", firstFlight(7), DropNone},
+		{"other-service", foreign, DropForeign},
+		{"unknown-id", append([]byte{0x40}, make([]byte, 60)...), DropForeign},
+		{"handshake-of-no-connection", handshake, DropForeign},
+		{"truncated", []byte{0x40, 1}, DropTruncated},
+		{"malformed", make([]byte, 100), DropMalformed},
+		{"oversized", make([]byte, tunnel.MaxPayload+1), DropOversized},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var scratch Scratch
+			got, drop := d.Decide(&scratch, tt.packet)
+			if drop != tt.drop {
+				t.Fatalf("dropped for %s, want %s", drop, tt.drop)
+			}
+			if tt.name == "established" && got.Sidecar != to {
+				t.Errorf("goes to %s, want %s", got.Sidecar, to)
+			}
+		})
+	}
+	empty := newDecider(t, 0)
+	var scratch Scratch
+	if _, drop := empty.Decide(&scratch, firstFlight(7)); drop != DropNoUpstream {
+		t.Errorf("dropped for %s, want %s", drop, DropNoUpstream)
+	}
+	if got, _ := empty.Decide(&scratch, established(empty.Codec, empty.Tag, to, 1)); got.Sidecar != to {
+		t.Error("an established flow needs the table of a balancer that has just started")
+	}
+}
+
+func TestDecideDoesNotAllocate(t *testing.T) {
+	d := newDecider(t, 7)
+	packets := [][]byte{established(d.Codec, d.Tag, netip.MustParseAddrPort("10.1.0.3:7000"), 1), firstFlight(1)}
+	var scratch Scratch
+	for _, p := range packets {
+		if n := testing.AllocsPerRun(100, func() { d.Decide(&scratch, p) }); n != 0 {
+			t.Errorf("%v allocations a datagram", n)
+		}
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, upstreams := range []int{7, 3200} {
+		for _, flows := range []int{1, 400_000} {
+			d := newDecider(b, upstreams)
+			to := candidates(upstreams)
+			ids := make([][]byte, flows)
+			for i := range ids {
+				ids[i] = established(d.Codec, d.Tag, to[i%upstreams].Addr, uint32(i))[:64]
+			}
+			b.Run(fmt.Sprintf("established/upstreams=%d/flows=%d", upstreams, flows), func(b *testing.B) {
+				b.ReportAllocs()
+				var scratch Scratch
+				for i := 0; b.Loop(); i++ {
+					d.Decide(&scratch, ids[i%flows])
+				}
+			})
+		}
+		d := newDecider(b, upstreams)
+		packet := firstFlight(0)
+		b.Run(fmt.Sprintf("first-flight/upstreams=%d", upstreams), func(b *testing.B) {
+			b.ReportAllocs()
+			var scratch Scratch
+			for i := uint64(0); b.Loop(); i++ {
+				binary.BigEndian.PutUint64(packet[6:], i)
+				d.Decide(&scratch, packet)
+			}
+		})
+	}
+}
+
+func BenchmarkSeal(b *testing.B) {
+	s, err := tunnel.NewSealer(tunnel.Key{ID: 1, Secret: secret})
+	if err != nil {
+		b.Fatal(err)
+	}
+	datagram := make([]byte, tunnel.HeaderLen+payloadLen)
+	h := tunnel.Header{Kind: tunnel.KindInbound, Caller: netip.MustParseAddrPort("10.1.0.3:7000")}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := s.Seal(datagram, &h); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkForward compares the rate of the forwarder with a plain relay that uses
+// the same batches, in turns within one run.
+func BenchmarkForward(b *testing.B) {
+	const rounds = 10
+	var forward, relay time.Duration
+	for range b.N {
+		for range rounds {
+			relay += runRelay(b, startRelay)
+			forward += runRelay(b, startForwarder)
+		}
+	}
+	n := float64(b.N * rounds * datagramsPerRound)
+	b.ReportMetric(n/forward.Seconds(), "forwarder-datagrams/s")
+	b.ReportMetric(n/relay.Seconds(), "relay-datagrams/s")
+	b.ReportMetric(relay.Seconds()/forward.Seconds(), "forwarder/relay")
+}
+
+const (
+	datagramsPerRound = 40_000
+	// window bounds the datagrams under way, so that none is lost.
+	window = 512
+)
+
+// startRelayFunc starts something that passes datagrams from the returned address
+// to sink.
+type startRelayFunc func(b *testing.B, sink netip.AddrPort) (netip.AddrPort, func())
+
+func startForwarder(b *testing.B, sink netip.AddrPort) (netip.AddrPort, func()) {
+	s, err := tunnel.NewSealer(tunnel.Key{ID: 1, Secret: secret})
+	if err != nil {
+		b.Fatal(err)
+	}
+	f, stop, err := New(slog.New(slog.DiscardHandler), NewCounters(metrics.NewRegistry()), netip.MustParseAddrPort("127.0.0.1:0"), s)
+	if err != nil {
+		b.Fatal(err)
+	}
+	addr := freeAddr(b)
+	d := newDecider(b, 7)
+	if err := f.Apply(Bindings{{Address: addr, Decider: d, Sealer: s}}, s); err != nil {
+		b.Fatal(err)
+	}
+	return addr, stop
+}
+
+func freeAddr(b *testing.B) netip.AddrPort {
+	conn, err := listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func startRelay(b *testing.B, sink netip.AddrPort) (netip.AddrPort, func()) {
+	in, err := listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	out, err := listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		reader, writer := ipv4.NewPacketConn(in), ipv4.NewPacketConn(out)
+		buf := newBatch(0, payloadLen)
+		for {
+			n, err := reader.ReadBatch(buf.in, 0)
+			if err != nil {
+				return
+			}
+			for i := range n {
+				buf.setOut(i, buf.buffers[i][:buf.in[i].N], sink)
+			}
+			for sent := 0; sent < n; {
+				m, err := writer.WriteBatch(buf.out[sent:n], 0)
+				if err != nil {
+					return
+				}
+				sent += m
+			}
+		}
+	}()
+	return in.LocalAddr().(*net.UDPAddr).AddrPort(), func() {
+		in.Close()
+		out.Close()
+		<-done
+	}
+}
+
+// runRelay returns how long the relay needs for the datagrams of one round.
+func runRelay(b *testing.B, start startRelayFunc) time.Duration {
+	sink, err := listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	sinkAddr := sink.LocalAddr().(*net.UDPAddr).AddrPort()
+	addr, stop := start(b, sinkAddr)
+	defer stop()
+	var got atomic.Int64
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		conn := ipv4.NewPacketConn(sink)
+		buf := newBatch(0, tunnel.MaxDatagram)
+		for {
+			n, err := conn.ReadBatch(buf.in, 0)
+			if err != nil {
+				return
+			}
+			got.Add(int64(n))
+		}
+	}()
+	elapsed := blast(b, addr, sinkAddr, &got)
+	sink.Close()
+	<-done
+	return elapsed
+}
+
+func blast(b *testing.B, addr, sink netip.AddrPort, got *atomic.Int64) time.Duration {
+	conn, err := listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	writer := ipv4.NewPacketConn(conn)
+	buf := newBatch(0, payloadLen)
+	packet := established(newCodec(b), service.Tag("rota-core"), sink, 1)
+	for i := range buf.out {
+		buf.setOut(i, packet, addr)
+	}
+	began := time.Now()
+	limit := began.Add(20 * time.Second)
+	sent := 0
+	for sent < datagramsPerRound || got.Load() < datagramsPerRound {
+		if time.Now().After(limit) {
+			b.Fatalf("%d of %d datagrams arrived", got.Load(), datagramsPerRound)
+		}
+		if sent == datagramsPerRound || int64(sent)-got.Load() > window {
+			continue
+		}
+		n, err := writer.WriteBatch(buf.out[:min(batchSize, datagramsPerRound-sent)], 0)
+		if err != nil {
+			b.Fatal(err)
+		}
+		sent += n
+	}
+	return time.Since(began)
+}
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -17,11 +18,15 @@
 const (
 	// maxAttempts bounds the places where one request is tried.
 	maxAttempts = 3
-	// spreadInterval is the time after which a request that waits looks for a place
-	// with a free slot, or a shorter queue, again.
-	spreadInterval = 25 * time.Millisecond
+	// A request that waits looks for a place with a free slot, or a shorter queue,
+	// again after firstSpread, then at intervals that double up to lastSpread.
+	firstSpread = 5 * time.Millisecond
+	lastSpread  = 50 * time.Millisecond
+	// firstProbes is the number of siblings that are asked at once when no place is
+	// known to have a free slot; what is known of them may be old.
+	firstProbes = 2
 	// maxBids bounds the places where one request waits at the same time.
-	maxBids = 3
+	maxBids = 4
 	// queueBidsPerSlot bounds the requests of this sidecar that wait in siblings'
 	// queues: enough to keep a sibling's slots busy, and no more talk than that.
 	queueBidsPerSlot = 2
@@ -209,7 +214,8 @@
 	for _, identity := range d.firstPlaces(r, tried) {
 		start(identity)
 	}
-	spread := time.NewTicker(spreadInterval)
+	interval := firstSpread
+	spread := time.NewTimer(interval)
 	defer spread.Stop()
 	var lastErr error = work.ErrOverload
 	for {
@@ -232,6 +238,8 @@
 				start(next)
 			}
 		case <-spread.C:
+			interval = min(2*interval, lastSpread)
+			spread.Reset(interval)
 			if open >= maxBids {
 				continue
 			}
@@ -276,10 +284,16 @@
 	if !d.leaving() && !tried[d.identity] {
 		places = append(places, d.identity)
 	}
-	if d.bidsUpTo(r.Route.Priority) >= queueBidsPerSlot*d.slotCount {
-		return places
-	}
-	if identity, ok := d.siblings.pickQueue(r.Route.Priority, false, tried); ok {
+	exclude := maps.Clone(tried)
+	for range firstProbes {
+		if d.bidsUpTo(r.Route.Priority) >= queueBidsPerSlot*d.slotCount {
+			break
+		}
+		identity, ok := d.siblings.pickQueue(r.Route.Priority, false, exclude)
+		if !ok {
+			break
+		}
+		exclude[identity] = true
 		places = append(places, identity)
 	}
 	return places
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -64,9 +64,11 @@
 	Service  string `json:"service"`
 	Identity string `json:"identity"`
 	Runs     []Run  `json:"runs"`
-	// Work is the total time that slots were held.
+	// Work is the total time that slots were held so far.
 	Work time.Duration `json:"work"`
-	// Useful is the part of Work whose answer was written in time.
+	// Ended is the part of Work that belongs to requests that have ended.
+	Ended time.Duration `json:"ended"`
+	// Useful is the part of Ended whose answer was written in time.
 	Useful time.Duration `json:"useful"`
 	Shed   int           `json:"shed"`
 	// WrongService counts requests that were meant for another service.
@@ -86,11 +88,13 @@
 	runs     map[string]int
 	audit    Audit
 	dieAfter int
+	// accounted is the time up to which audit.Work is complete.
+	accounted time.Time
 }
 
 // Start serves an upstream until the clean-up function is called.
 func Start(o Options) (*Upstream, netip.AddrPort, func(), error) {
-	u := &Upstream{Options: o, started: time.Now(), done: make(chan struct{}), runs: map[string]int{}}
+	u := &Upstream{Options: o, started: time.Now(), done: make(chan struct{}), runs: map[string]int{}, accounted: time.Now()}
 	ln, err := net.Listen("tcp4", o.Addr.String())
 	if err != nil {
 		return nil, netip.AddrPort{}, nil, errors.Wrap(err, "upstream.Start")
@@ -144,6 +148,7 @@
 func (u *Upstream) Audit() Audit {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.account()
 	a := u.audit
 	a.Service = u.Service
 	a.Identity = u.Identity
@@ -170,6 +175,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return false
 	}
+	u.account()
 	u.busy++
 	if key := r.Header.Get(keyHeader); key != "" {
 		u.runs[key]++
@@ -177,12 +183,20 @@
 	return true
 }
 
+// account adds the time since the last change. The caller holds mu.
+func (u *Upstream) account() {
+	now := time.Now()
+	u.audit.Work += time.Duration(u.busy) * now.Sub(u.accounted)
+	u.accounted = now
+}
+
 func (u *Upstream) end(began time.Time, useful bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	d := time.Since(began)
+	u.account()
 	u.busy--
-	u.audit.Work += d
+	u.audit.Ended += d
 	if useful {
 		u.audit.Useful += d
 	}
--- /dev/null
+++ b/work/ledger_test.go
@@ -0,0 +1,149 @@
+package work
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// keyMachine plays the sidecars of one service that claim, run and mark requests
+// under a few keys, while sidecars hand over and join.
+type keyMachine struct {
+	now     time.Time
+	ledgers map[string]*Ledger
+	born    map[string]uint64
+	next    int
+	runs    map[string]int // by key
+	notRun  map[string]bool
+	ids     map[string]string // request to key
+}
+
+func TestKeysRunAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &keyMachine{now: time.Unix(0, 0), ledgers: map[string]*Ledger{}, born: map[string]uint64{}, runs: map[string]int{}, notRun: map[string]bool{}, ids: map[string]string{}}
+		m.join(t)
+		m.join(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"join":    m.join,
+			"leave":   m.leave,
+			"attempt": m.attempt,
+			"":        m.check,
+		})
+	})
+}
+
+func (m *keyMachine) join(*rapid.T) {
+	m.next++
+	name := fmt.Sprintf("sidecar-%d", m.next)
+	m.ledgers[name] = NewLedger()
+	m.born[name] = uint64(m.next)
+}
+
+func (m *keyMachine) members() []Home {
+	var list []Home
+	for name := range m.ledgers {
+		list = append(list, Home{Identity: name, Incarnation: m.born[name]})
+	}
+	return list
+}
+
+func (m *keyMachine) pick(t *rapid.T, label string) string {
+	var names []string
+	for i := 1; i <= m.next; i++ {
+		if name := fmt.Sprintf("sidecar-%d", i); m.ledgers[name] != nil {
+			names = append(names, name)
+		}
+	}
+	return rapid.SampledFrom(names).Draw(t, label)
+}
+
+// leave hands over everything to the next homes.
+func (m *keyMachine) leave(t *rapid.T) {
+	if len(m.ledgers) < 2 {
+		return
+	}
+	name := m.pick(t, "leaver")
+	l := m.ledgers[name]
+	delete(m.ledgers, name)
+	for _, k := range l.Export() {
+		homes := Homes(k.Key, m.members())
+		heir := homes[len(homes)-1].Identity
+		if err := m.ledgers[heir].Import(m.now, k, heir); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// attempt brings a request to one sidecar, which asks the homes of its key and runs
+// it on a sidecar if the key is new.
+func (m *keyMachine) attempt(t *rapid.T) {
+	key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
+	m.next++
+	id := fmt.Sprintf("request-%d", m.next)
+	holder := m.pick(t, "holder")
+	mine := Holding{RequestID: id, Holder: holder}
+	_, fresh := m.ledgers[holder].Claim(m.now, key, mine, "")
+	for _, h := range Homes(key, m.members()) {
+		_, ok := m.ledgers[h.Identity].Claim(m.now, key, mine, "")
+		fresh = fresh && ok
+	}
+	if !fresh {
+		return
+	}
+	runner := m.pick(t, "runner")
+	if rapid.Bool().Draw(t, "mark") {
+		m.ledgers[runner].Mark(m.now, id)
+	}
+	if err := m.ledgers[runner].Begin(m.now, key, id); err != nil {
+		return
+	}
+	m.runs[key]++
+	m.ledgers[runner].End(m.now, id, StateAnswered, &Answer{Body: []byte(id)})
+	if runner != holder {
+		if err := m.ledgers[holder].Import(m.now, Kept{Key: key, RequestID: id, State: StateAnswered}, holder); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func (m *keyMachine) check(t *rapid.T) {
+	for key, n := range m.runs {
+		if n > 1 {
+			t.Fatalf("key %s ran %d times", key, n)
+		}
+	}
+}
+
+func TestMarkedRequestNeverRuns(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := NewLedger()
+	if got := l.Mark(now, "id"); got != StateNotRun {
+		t.Fatalf("got %s, want not-run", got)
+	}
+	if err := l.Begin(now, "key", "id"); err == nil {
+		t.Fatal("a marked request began")
+	}
+	if err := l.Begin(now, "key", "other"); err != nil {
+		t.Fatal(err)
+	}
+	if got := l.Mark(now, "other"); got != StateRunning {
+		t.Fatalf("got %s, want running", got)
+	}
+}
+
+func TestHomesAskFewMembers(t *testing.T) {
+	var members []Home
+	for i := range 100 {
+		members = append(members, Home{Identity: fmt.Sprint(i), Incarnation: uint64(i)})
+	}
+	total := 0
+	for i := range 1000 {
+		total += len(Homes(fmt.Sprint(i), members))
+	}
+	// The expected number is the 100th harmonic number, 5.19.
+	if mean := float64(total) / 1000; mean > 6 {
+		t.Errorf("%.2f homes a key on average", mean)
+	}
+}
