Bound retries, validate crowded handshakes by setting, name slots apart from requests

Cause: retries were bounded for a request but not for a sidecar; a slot was named after its request, so a late withdrawal could free the slot of a second attempt of the same request.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -62,8 +62,7 @@
 	if err != nil {
 		return err
 	}
-	b.keys, err = keys.New(b.cfg.Secret, &service.Configuration{})
-	if err != nil {
+	if b.keys, err = keys.New(b.cfg.Secret, &service.Configuration{}); err != nil {
 		return err
 	}
 	forwarder, closeForwarder, err := fabric.New(b.log, fabric.NewCounters(registry), b.cfg.Tunnel, b.keys.Sealer)
@@ -73,41 +72,48 @@
 	defer closeForwarder()
 	b.forwarder = forwarder
 	b.node = control.NewNode(b.log, b.record())
-	control, err := net.Listen("tcp4", b.cfg.Control.String())
+	sessions, err := net.Listen("tcp4", b.cfg.Control.String())
 	if err != nil {
 		return err
 	}
-	client, closeClient := platform.New(b.cfg.Store, registry)
-	defer closeClient()
-	store := platform.NewConfigurations(client)
+	defer sessions.Close()
 	api, err := net.Listen("tcp4", b.cfg.API.String())
 	if err != nil {
-		control.Close()
 		return err
 	}
-	life, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer end()
-	defer b.start(life, end, func(ctx context.Context) { session.Serve(ctx, b.log, control, credentials, b.node.Handle) })()
-	defer b.start(life, end, func(ctx context.Context) { b.watchStore(ctx, store) })()
-	defer b.start(life, end, b.follow)()
-	defer b.start(life, end, func(ctx context.Context) { b.serveAPI(ctx, api, operator.New(b.log, store, b.node, b.cfg.APIToken)) })()
-	defer b.start(life, end, b.announce(credentials))()
+	defer api.Close()
+	client, closeClient := platform.New(b.cfg.Store, registry)
+	defer closeClient()
+	store := platform.NewConfigurations(client)
+	defer b.startAll(context.WithoutCancel(ctx),
+		func(ctx context.Context) { session.Serve(ctx, b.log, sessions, credentials, b.node.Handle) },
+		func(ctx context.Context) { b.watchStore(ctx, store) },
+		func(ctx context.Context) { b.serveAPI(ctx, api, operator.New(b.log, store, b.node, b.cfg.APIToken)) },
+		b.announce(credentials),
+		b.follow,
+	)()
 	b.log.Info("balancer-started", "tunnel", forwarder.LocalAddr().String())
 	<-ctx.Done()
 	b.leave(abort)
 	return nil
 }
 
-// start runs f in a goroutine and returns a function that ends it and waits.
-func (*Balancer) start(ctx context.Context, end func(), f func(context.Context)) func() {
+// startAll runs each function in a goroutine and returns a function that ends them
+// and waits.
+func (*Balancer) startAll(ctx context.Context, functions ...func(context.Context)) func() {
+	ctx, end := context.WithCancel(ctx)
 	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f(ctx)
-	}()
+	for _, f := range functions {
+		go func() {
+			f(ctx)
+			done <- struct{}{}
+		}()
+	}
 	return func() {
 		end()
-		<-done
+		for range functions {
+			<-done
+		}
 	}
 }
 
--- a/caller/front.go
+++ b/caller/front.go
@@ -27,10 +27,6 @@
 	keepAlive   = 5 * time.Second
 	// maxStreams is the number of requests that one connection may have open.
 	maxStreams = 256
-	// handshakeRate and handshakeBurst bound the handshakes a second that go
-	// without validation of the caller's address.
-	handshakeRate  = 200
-	handshakeBurst = 400
 )
 
 // Dispatcher decides where a request runs, and passes its answer to sink.
@@ -56,7 +52,10 @@
 	Routes      func() service.Routes
 	Dispatcher  Dispatcher
 	Identity    string
-	Registry    metrics.Registry
+	// Handshakes is the number of handshakes a second that go without validation of
+	// the caller's address.
+	Handshakes int
+	Registry   metrics.Registry
 }
 
 // Front serves callers.
@@ -94,7 +93,7 @@
 		requests: metrics.NewRegisteredCounter("caller.requests", o.Registry),
 	}
 	reset := quic.StatelessResetKey(sha256.Sum256(append([]byte("greengagedyke stateless-reset "), o.ResetSecret...)))
-	handshakes := rate.NewLimiter(handshakeRate, handshakeBurst)
+	handshakes := rate.NewLimiter(rate.Limit(o.Handshakes), o.Handshakes)
 	f.transport = &quic.Transport{
 		Conn:                  o.Conn,
 		ConnectionIDGenerator: idGenerator{ids: o.IDs},
--- a/demo/failures_test.go
+++ b/demo/failures_test.go
@@ -165,3 +165,36 @@
 		}
 	})
 }
+
+// When handshakes crowd, callers prove their address first, and are then served.
+func TestCrowdedHandshakesAreValidated(t *testing.T) {
+	t.Parallel()
+	spec := testSpec(2)
+	spec.Handshakes = 1
+	spec.Services[0].Load.Feeds = 30
+	s := newTestSite(t, spec)
+	runFor(t, s, time.Second, func(context.Context) {})
+	var validated int64
+	for id := range s.Registries {
+		validated += s.Count(id, "caller.address-validations")
+	}
+	if validated == 0 {
+		t.Error("no address was validated")
+	}
+}
+
+// An answer that an upstream does not complete is never taken for a whole one.
+func TestCutAnswersAreSeenToBeCut(t *testing.T) {
+	t.Parallel()
+	spec := testSpec(2)
+	spec.Services[0].Load.Feeds = 0
+	spec.Services[0].Load.Rates[load.KindDownload] = 10
+	s := newTestSite(t, spec)
+	result := runFor(t, s, 3*time.Second, func(context.Context) {
+		time.Sleep(time.Second)
+		s.Upstreams["rota-core-2"].CutDownload()
+	})
+	if n := result.Counts[load.KindDownload].Cut; n == 0 {
+		t.Error("no answer was cut")
+	}
+}
--- a/demo/site.go
+++ b/demo/site.go
@@ -48,6 +48,9 @@
 	// Upstream describes how long work takes; its addresses are filled in.
 	Upstream upstream.Options
 	Baseline sidecar.Baseline
+	// Handshakes is the number of handshakes a second that go without address
+	// validation at each sidecar; 0 for the default.
+	Handshakes int
 	// Proxied puts a fault-injecting proxy in front of each sidecar's siblings.
 	Proxied bool
 }
@@ -342,6 +345,7 @@
 		CertificateFile: s.certificateFile(),
 		KeyFile:         s.keyFile(),
 		Baseline:        s.Baseline,
+		Handshakes:      s.Handshakes,
 	}
 	cfg.Defaults()
 	if s.Proxied {
--- a/scripts/scripts_test.go
+++ b/scripts/scripts_test.go
@@ -20,6 +20,7 @@
 const awaitLimit = 20 * time.Second
 
 func TestScripts(t *testing.T) {
+	trackSources(t)
 	bin := t.TempDir()
 	for _, name := range []string{"greengagedyke", "standins"} {
 		build := exec.Command("go", "build", "-o", filepath.Join(bin, name), "greengagedyke/cmd/"+name)
@@ -49,6 +50,25 @@
 	})
 }
 
+// trackSources reads the sources of the programs, so that a cached result of this
+// test is not used after they have changed.
+func trackSources(t *testing.T) {
+	t.Helper()
+	files, err := filepath.Glob("../*/*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	deeper, err := filepath.Glob("../*/*/*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range append(files, deeper...) {
+		if _, err := os.ReadFile(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // await runs a command until it succeeds, and with a first argument in quotes until
 // its output contains that.
 func await(ts *testscript.TestScript, _ bool, args []string) {
--- a/sibling/server.go
+++ b/sibling/server.go
@@ -22,6 +22,7 @@
 
 // Slots hands out the slots of the local upstream.
 type Slots interface {
+	NextID() string
 	Enqueue(e work.Entry) (<-chan error, error)
 	Start(id string) error
 	Cancel(id string)
@@ -144,13 +145,14 @@
 		v.run(ctx, s, r, started, nil)
 		return
 	}
-	e := work.Entry{ID: r.ID, Route: o.Route, Long: o.Long, Priority: int(o.Priority), Deadline: r.Deadline, Lease: lease}
+	r.SlotID = v.slots.NextID()
+	e := work.Entry{ID: r.SlotID, Route: o.Route, Long: o.Long, Priority: int(o.Priority), Deadline: r.Deadline, Lease: lease}
 	granted, err := v.slots.Enqueue(e)
 	if err != nil {
 		v.refuse(s, reason(err), 0)
 		return
 	}
-	defer v.slots.Cancel(r.ID)
+	defer v.slots.Cancel(r.SlotID)
 	err = v.awaitGrant(ctx, s, granted)
 	if ctx.Err() != nil {
 		return
@@ -203,7 +205,7 @@
 		return
 	}
 	if slots != nil {
-		if err := slots.Start(r.ID); err != nil {
+		if err := slots.Start(r.SlotID); err != nil {
 			v.refuse(s, work.ReasonLeaseLapsed, 0)
 			return
 		}
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,22 +15,8 @@
 	"greengagedyke/work"
 )
 
-const (
-	// maxAttempts bounds the places where one request is tried.
-	maxAttempts = 3
-	// A request that waits looks for a place with a free slot, or a shorter queue,
-	// again after firstSpread, then at intervals that double up to lastSpread.
-	firstSpread = 5 * time.Millisecond
-	lastSpread  = 50 * time.Millisecond
-	// firstProbes is the number of siblings that are asked at once when no place is
-	// known to have a free slot; what is known of them may be old.
-	firstProbes = 2
-	// maxBids bounds the places where one request waits at the same time.
-	maxBids = 4
-	// queueBidsPerSlot bounds the requests of this sidecar that wait in siblings'
-	// queues: enough to keep a sibling's slots busy, and no more talk than that.
-	queueBidsPerSlot = 2
-)
+// maxAttempts bounds the places where one request is tried.
+const maxAttempts = 3
 
 // Dispatcher decides where requests run. It implements caller.Dispatcher.
 type Dispatcher struct {
@@ -46,6 +32,10 @@
 	// queueBids is the number of requests that wait in siblings' queues, by priority.
 	queueBids [work.Priorities]atomic.Int64
 	slotCount int
+
+	retryMu sync.Mutex
+	retries work.RetryBudget
+
 	// lost reports whether a member that may have run something is gone.
 	lost func() bool
 	// left reports whether a holder has ended and handed over what it knew.
@@ -113,6 +103,7 @@
 		waitCtx, cancel = context.WithDeadline(ctx, r.Deadline)
 		defer cancel()
 	}
+	d.noteRequest()
 	guard := &headGuard{Sink: sink}
 	exclude := map[string]bool{}
 	outcome := work.NotRun(work.ReasonOverload, 0)
@@ -125,7 +116,7 @@
 			guard.Receipt(work.Receipt{Identity: s.holder, RequestID: r.ID})
 		}
 		outcome = s.run(ctx, r, guard)
-		if !d.mayRetry(waitCtx, r, guard, outcome) {
+		if !d.mayRetry(waitCtx, r, guard, outcome) || !d.takeRetry() {
 			return outcome
 		}
 		exclude[s.identity] = true
@@ -133,6 +124,18 @@
 	return outcome
 }
 
+func (d *Dispatcher) noteRequest() {
+	d.retryMu.Lock()
+	defer d.retryMu.Unlock()
+	d.retries.Request(time.Now())
+}
+
+func (d *Dispatcher) takeRetry() bool {
+	d.retryMu.Lock()
+	defer d.retryMu.Unlock()
+	return d.retries.Take(time.Now())
+}
+
 func (*Dispatcher) mayRetry(ctx context.Context, r *work.Request, guard *headGuard, o work.Outcome) bool {
 	if ctx.Err() != nil || guard.begun || o.Reason == work.ReasonMarked {
 		return false
@@ -177,235 +180,6 @@
 	return g.Sink.Head(h)
 }
 
-// slot is a granted slot, here or at a sibling.
-type slot struct {
-	identity string
-	holder   string
-	run      func(ctx context.Context, r *work.Request, sink work.Sink) work.Outcome
-	cancel   func()
-}
-
-// bid is the outcome of waiting for a slot in one place.
-type bid struct {
-	slot *slot
-	err  error
-}
-
-// acquire waits for a slot in the place that is picked, and if that takes long, in
-// others too. The first grant counts; the other bids are withdrawn.
-func (d *Dispatcher) acquire(ctx context.Context, r *work.Request, exclude map[string]bool) (*slot, error) {
-	bidCtx, cancel := context.WithCancel(ctx)
-	bids := make(chan bid, len(d.siblings.all())+2)
-	tried := map[string]bool{}
-	for id := range exclude {
-		tried[id] = true
-	}
-	open := 0
-	queued := make(chan struct{}, 1)
-	start := func(identity string) {
-		tried[identity] = true
-		open++
-		go func() { bids <- d.bid(bidCtx, identity, r, queued) }()
-	}
-	defer func() {
-		cancel()
-		go withdraw(bids, open)
-	}()
-	for _, identity := range d.firstPlaces(r, tried) {
-		start(identity)
-	}
-	interval := firstSpread
-	spread := time.NewTimer(interval)
-	defer spread.Stop()
-	var lastErr error = work.ErrOverload
-	for {
-		if open == 0 {
-			next := d.nextPlace(r, tried)
-			if next == "" {
-				return nil, lastErr
-			}
-			start(next)
-		}
-		select {
-		case b := <-bids:
-			open--
-			if b.err == nil {
-				return b.slot, nil
-			}
-			lastErr = worse(lastErr, b.err)
-		case <-queued:
-			if next, ok := d.siblings.pick(d.slots.Load(), r.Route.Long, tried); ok && open < maxBids && d.baseline == BaselineNone {
-				start(next)
-			}
-		case <-spread.C:
-			interval = min(2*interval, lastSpread)
-			spread.Reset(interval)
-			if open >= maxBids {
-				continue
-			}
-			if next := d.betterPlace(r, tried); next != "" {
-				start(next)
-			}
-		}
-	}
-}
-
-// worse keeps the error that tells the caller most.
-func worse(a, b error) error {
-	if errors.Is(a, work.ErrDeadline) {
-		return a
-	}
-	return b
-}
-
-// withdraw gives back the grants that came too late.
-func withdraw(bids <-chan bid, open int) {
-	for range open {
-		if b := <-bids; b.err == nil {
-			b.slot.cancel()
-		}
-	}
-}
-
-// firstPlaces returns where a request asks for a slot first: the best place with a
-// free slot, or when none is known, the own queue and the shortest other, whose
-// report may be old.
-func (d *Dispatcher) firstPlaces(r *work.Request, tried map[string]bool) []string {
-	switch d.baseline {
-	case BaselineLocal:
-		return []string{d.identity}
-	case BaselineRandom:
-		return []string{d.siblings.anyPlace()}
-	}
-	if identity, ok := d.siblings.pick(d.slots.Load(), r.Route.Long, tried); ok {
-		return []string{identity}
-	}
-	var places []string
-	if !d.leaving() && !tried[d.identity] {
-		places = append(places, d.identity)
-	}
-	exclude := maps.Clone(tried)
-	for range firstProbes {
-		if d.bidsUpTo(r.Route.Priority) >= queueBidsPerSlot*d.slotCount {
-			break
-		}
-		identity, ok := d.siblings.pickQueue(r.Route.Priority, false, exclude)
-		if !ok {
-			break
-		}
-		exclude[identity] = true
-		places = append(places, identity)
-	}
-	return places
-}
-
-// nextPlace returns a place for a request that waits nowhere: the own queue, then
-// the shortest other one.
-func (d *Dispatcher) nextPlace(r *work.Request, tried map[string]bool) string {
-	if d.baseline == BaselineLocal || d.baseline == BaselineRandom {
-		return ""
-	}
-	if !d.leaving() && !tried[d.identity] {
-		return d.identity
-	}
-	identity, _ := d.siblings.pickQueue(r.Route.Priority, false, tried)
-	return identity
-}
-
-// betterPlace returns a further place for a request that waits: one with a free
-// slot, the own queue if it does not wait there, or a much shorter queue.
-func (d *Dispatcher) betterPlace(r *work.Request, tried map[string]bool) string {
-	if d.baseline == BaselineLocal || d.baseline == BaselineRandom {
-		return ""
-	}
-	if identity, ok := d.siblings.pick(d.slots.Load(), r.Route.Long, tried); ok {
-		return identity
-	}
-	if !d.leaving() && !tried[d.identity] {
-		return d.identity
-	}
-	if d.bidsUpTo(r.Route.Priority) >= queueBidsPerSlot*d.slotCount {
-		return ""
-	}
-	identity, _ := d.siblings.pickQueue(r.Route.Priority, true, tried)
-	return identity
-}
-
-// bidsUpTo counts the waiting offers of this priority and those before it, so that
-// less urgent requests do not keep urgent ones from other queues.
-func (d *Dispatcher) bidsUpTo(priority int) int {
-	n := 0
-	for i := range d.queueBids[:priority+1] {
-		n += int(d.queueBids[i].Load())
-	}
-	return n
-}
-
-func (d *Dispatcher) bid(ctx context.Context, identity string, r *work.Request, queued chan<- struct{}) bid {
-	d.siblings.assign(identity, r.Route.Long, d.slots.Expected(r.RouteName()))
-	defer d.siblings.settle(identity, r.Route.Long)
-	if identity == d.identity {
-		return d.bidLocal(ctx, r)
-	}
-	return d.bidSibling(ctx, identity, r, queued)
-}
-
-func (d *Dispatcher) bidLocal(ctx context.Context, r *work.Request) bid {
-	granted, err := d.slots.Enqueue(d.entry(r))
-	if err != nil {
-		return bid{err: err}
-	}
-	select {
-	case err = <-granted:
-	case <-ctx.Done():
-		d.slots.Release(r.ID)
-		d.slots.Cancel(r.ID)
-		return bid{err: work.ErrDeadline}
-	}
-	if err != nil {
-		return bid{err: err}
-	}
-	return bid{slot: &slot{
-		identity: d.identity,
-		holder:   d.holder,
-		run:      d.upstream.Run,
-		cancel:   func() { d.slots.Release(r.ID) },
-	}}
-}
-
-func (d *Dispatcher) bidSibling(ctx context.Context, identity string, r *work.Request, queued chan<- struct{}) bid {
-	c := d.siblings.client(identity)
-	if c == nil {
-		return bid{err: work.ErrOverload}
-	}
-	held, err := c.Offer(ctx, r)
-	if err != nil {
-		return bid{err: err}
-	}
-	waiting := &d.queueBids[r.Route.Priority]
-	waiting.Add(1)
-	err = held.Wait(ctx, func() {
-		select {
-		case queued <- struct{}{}:
-		default:
-		}
-	})
-	waiting.Add(-1)
-	if err != nil {
-		held.Cancel()
-		return bid{err: err}
-	}
-	s := &slot{identity: identity, holder: d.siblings.holderOf(identity), cancel: held.Cancel}
-	s.run = func(ctx context.Context, r *work.Request, sink work.Sink) work.Outcome {
-		outcome, lost := held.Run(ctx, r, sink)
-		if !lost || outcome.Verdict == work.VerdictCut {
-			return outcome
-		}
-		return d.recover(ctx, c, r, sink)
-	}
-	return bid{slot: s}
-}
-
 // recover finds out what became of a request whose session was lost: a sibling
 // that has not begun it is told never to, and an answer that it kept is fetched.
 func (d *Dispatcher) recover(ctx context.Context, c *sibling.Client, r *work.Request, sink work.Sink) work.Outcome {
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -10,6 +10,7 @@
 
 const (
 	defaultHealthPath = "/health"
+	defaultHandshakes = 200
 	maxSlots          = 1024
 	minSecretLen      = 16
 )
@@ -37,6 +38,9 @@
 	KeyFile         string `json:"key-file"`
 	// Metrics is a local HTTP address for metrics; none if empty.
 	Metrics netip.AddrPort `json:"metrics-address,omitempty"`
+	// Handshakes is the number of handshakes a second above which callers must prove
+	// their address first.
+	Handshakes int `json:"unvalidated-handshakes,omitempty"`
 	// Baseline replaces decisions by simpler ones, to measure against.
 	Baseline Baseline `json:"baseline,omitempty"`
 }
@@ -60,6 +64,9 @@
 	if s.HealthPath == "" {
 		s.HealthPath = defaultHealthPath
 	}
+	if s.Handshakes == 0 {
+		s.Handshakes = defaultHandshakes
+	}
 }
 
 // Validate implements settings.Checked.
@@ -75,6 +82,8 @@
 		return &settings.FieldError{Field: "service", Problem: "must not be empty"}
 	case s.Slots < 1 || s.Slots > maxSlots:
 		return &settings.FieldError{Field: "slots", Problem: "must be 1 to 1024"}
+	case s.Handshakes < 1:
+		return &settings.FieldError{Field: "unvalidated-handshakes", Problem: "must be at least 1"}
 	case len(s.Balancers) == 0:
 		return &settings.FieldError{Field: "balancers", Problem: "must not be empty"}
 	case s.CertificateFile == "" || s.KeyFile == "":
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -178,6 +178,7 @@
 		Routes:      s.routes,
 		Dispatcher:  s.dispatcher,
 		Identity:    s.cfg.Identity,
+		Handshakes:  s.cfg.Handshakes,
 		Registry:    s.registry,
 	})
 	if err != nil {
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -88,6 +88,7 @@
 	runs     map[string]int
 	audit    Audit
 	dieAfter int
+	cutNext  bool
 	// accounted is the time up to which audit.Work is complete.
 	accounted time.Time
 }
@@ -128,6 +129,21 @@
 	u.dieAfter = n
 }
 
+// CutDownload makes the next download end in the middle of its answer.
+func (u *Upstream) CutDownload() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.cutNext = true
+}
+
+func (u *Upstream) takeCut() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	cut := u.cutNext
+	u.cutNext = false
+	return cut
+}
+
 func (u *Upstream) health(w http.ResponseWriter, _ *http.Request) {
 	if u.LyingHealth {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -288,6 +304,9 @@
 			return
 		}
 		w.(http.Flusher).Flush()
+		if i == 3 && u.takeCut() {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	useful = true
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -80,7 +80,7 @@
 	kept := &keeper{sink: sink, keep: r.Route.Class == service.ClassNonIdempotent}
 	ctx, cancel := c.runContext(ctx, r)
 	defer cancel()
-	defer c.slots.Release(r.ID)
+	defer c.slots.Release(r.SlotID)
 	outcome := c.roundTrip(ctx, r, kept)
 	c.end(r.ID, outcome, kept)
 	return outcome
@@ -222,7 +222,7 @@
 	if err != nil {
 		return c.cut(ctx)
 	}
-	c.slots.Finish(r.ID)
+	c.slots.Finish(r.SlotID)
 	sink.head = head
 	sink.store(body)
 	if err := sink.sink.Head(head); err != nil {
@@ -246,7 +246,7 @@
 			sink.store(buf[:n])
 		}
 		if err == io.EOF {
-			c.slots.Finish(r.ID)
+			c.slots.Finish(r.SlotID)
 			return work.Outcome{Verdict: work.VerdictAnswered}
 		}
 		if err != nil {
--- a/upstream/slots.go
+++ b/upstream/slots.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"greengagedyke/work"
@@ -23,6 +25,7 @@
 	scheduler *work.Scheduler
 	waiters   map[string]chan error
 	reducedAt time.Time
+	lastID    atomic.Uint64
 }
 
 // NewSlots returns slots that start cold, with one slot in use, and warm up.
@@ -92,6 +95,10 @@
 	}
 }
 
+// NextID returns a new name for an entry. A request that is offered again to the
+// same slots gets another name each time.
+func (s *Slots) NextID() string { return strconv.FormatUint(s.lastID.Add(1), 10) }
+
 // Enqueue submits an entry and returns the channel on which its grant (nil) or
 // refusal arrives. Every entry must be given back with Finish, Release or Cancel.
 func (s *Slots) Enqueue(e work.Entry) (<-chan error, error) {
--- a/work/request.go
+++ b/work/request.go
@@ -37,6 +37,8 @@
 	Body     []byte
 	Route    service.Route
 	Deadline time.Time
+	// SlotID names the slot that the request holds where it runs.
+	SlotID string
 }
 
 // MaxBody is the largest request body in bytes.
