Spread control over a bounded fan-out with deltas, witnesses and collectors

Cause: every process announced itself to every balancer twice a second and each balancer sent all records to all others; each change sent the whole configuration; all balancers watched the store. Change: a sidecar announces itself to 3 balancers, a balancer to 5; both send what changed since the version that the other confirmed, digests find what was missed; a process counts as silent when two witnesses miss it, refutes with a new sequence, and most falling silent at once are kept; configuration travels as deltas, a sidecar gets its own service's; two balancers in a failure domain read the store; collectors of failure domains count where a revision is in force.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
@@ -88,7 +87,9 @@
 	defer b.startAll(context.WithoutCancel(ctx),
 		func(ctx context.Context) { session.Serve(ctx, b.log, sessions, credentials, b.node.Handle) },
 		func(ctx context.Context) { b.watchStore(ctx, store) },
-		func(ctx context.Context) { b.serveAPI(ctx, api, operator.New(b.log, store, b.node, b.cfg.APIToken)) },
+		func(ctx context.Context) {
+			b.serveAPI(ctx, api, operator.New(b.log, store, b.node, b.collector(credentials), b.cfg.APIToken))
+		},
 		b.announce(credentials),
 		b.follow,
 	)()
@@ -137,6 +138,13 @@
 	}
 }
 
+// collector asks where a revision is in force.
+func (b *Balancer) collector(credentials *session.Credentials) operator.Collector {
+	return func(ctx context.Context, revision uint64) control.Summary {
+		return b.node.Collect(ctx, credentials, revision)
+	}
+}
+
 // leave tells sidecars to answer through other balancers, and forwards until they do.
 func (b *Balancer) leave(abort context.Context) {
 	if abort.Err() != nil {
@@ -160,10 +168,14 @@
 // watchStore takes in every configuration that the store holds, until ctx ends.
 func (b *Balancer) watchStore(ctx context.Context, store *platform.Configurations) {
 	for ctx.Err() == nil {
+		if !b.node.IsStoreReader() {
+			pause(ctx, storePause)
+			continue
+		}
 		cfg, err := store.Watch(ctx, b.node.Configuration().Revision)
 		switch {
 		case err == nil:
-			b.adopt(cfg)
+			b.node.Adopt(cfg)
 		case errors.Is(err, platform.ErrUnchanged):
 		default:
 			b.log.Debug("store-unavailable", "error", err.Error())
@@ -179,23 +191,13 @@
 	}
 }
 
-func (b *Balancer) adopt(cfg *service.Configuration) {
-	raw, err := json.Marshal(cfg)
-	if err != nil {
-		b.log.Error("configuration-encode-failed", "error", err.Error())
-		return
-	}
-	if _, err := b.node.Adopt(raw); err != nil {
-		b.log.Error("configuration-refused", "error", err.Error())
-	}
-}
-
 // follow puts changes of configuration and membership in force until ctx ends.
 func (b *Balancer) follow(ctx context.Context) {
 	t := time.NewTicker(updateInterval)
 	defer t.Stop()
 	for {
 		changed := b.node.Changed()
+		b.node.Watch(time.Now())
 		b.apply()
 		select {
 		case <-ctx.Done():
@@ -239,7 +241,7 @@
 		return
 	}
 	b.failed = false
-	if b.node.Self().Revision != cfg.Revision {
+	if b.node.InForce() != cfg.Revision {
 		b.node.SetInForce(cfg.Revision)
 		b.log.Info("configuration-in-force", "revision", cfg.Revision, "services", len(cfg.Services))
 	}
--- a/cmd/greengagedyke/status.go
+++ b/cmd/greengagedyke/status.go
@@ -33,9 +33,9 @@
 		fmt.Printf("missing: %s\n", strings.Join(s.Missing, ", "))
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(w, "IDENTITY\tSERVICE\tFAILURE DOMAIN\tSTATE\tREVISION")
+	fmt.Fprintln(w, "IDENTITY\tSERVICE\tFAILURE DOMAIN\tSTATE\tMISSED BY")
 	for _, m := range s.Members {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", m.Identity, m.Service, m.FailureDomain, m.State, m.Revision)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", m.Identity, m.Service, m.FailureDomain, m.State, strings.Join(m.MissedBy, ","))
 	}
 	return w.Flush()
 }
--- /dev/null
+++ b/control/answer.go
@@ -0,0 +1,223 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"greengagedyke/member"
+	"greengagedyke/session"
+)
+
+const (
+	// minInterval is the shortest time between announcements of a sidecar.
+	minInterval = 500 * time.Millisecond
+	// intervalPerSidecar bounds the announcements that one balancer gets: 8 a second.
+	intervalPerSidecar = 125 * time.Millisecond
+	// Balancers announce themselves more rarely when there are many, since each
+	// change is announced at once.
+	balancerInterval     = time.Second
+	manyBalancers        = 8
+	manyBalancerInterval = 3 * time.Second
+	// A process is missed after this many intervals and a while.
+	missedIntervals = 3
+	missedAfter     = 500 * time.Millisecond
+	// maxMismatches is the number of announcements in a row after which differing
+	// views are sent whole.
+	maxMismatches = 4
+)
+
+// Handle serves the exchanges of one peer; it is a session.Handler.
+func (n *Node) Handle(ctx context.Context, s *session.Stream) {
+	for {
+		var c Call
+		if err := s.Receive(ctx, &c); err != nil {
+			return
+		}
+		var err error
+		switch {
+		case c.Announcement != nil && c.Announcement.Self != nil:
+			err = s.Send(n.confirm(c.Announcement))
+		case c.Collect != nil:
+			err = s.Send(n.collected())
+		default:
+			return
+		}
+		if err != nil {
+			n.log.Debug("confirmation-lost", "error", err.Error())
+			return
+		}
+	}
+}
+
+// confirm takes in an announcement and answers what its sender does not know.
+func (n *Node) confirm(a *Announcement) *Confirmation {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	c := &Confirmation{Epoch: n.self.Incarnation}
+	n.meet(a, c, now)
+	n.merge(a.Members, now)
+	n.adoptDelta(a.Delta)
+	if a.Report != nil {
+		n.reports[a.Report.Reporter] = storedReport{report: a.Report, at: now}
+	}
+	o, known := n.view.Find(a.Self.Identity)
+	since := a.Version
+	if a.Epoch != n.self.Incarnation {
+		since = 0
+	}
+	if known && o.Role == member.RoleBalancer && n.compare(a) {
+		c.SendAll = true
+		since = 0
+	}
+	c.Version = n.view.Version()
+	c.Revision = n.history.Current().Revision
+	c.Members = n.changes(since, a, &o.Record)
+	if known {
+		c.Delta = n.deltaFor(a.Revision, o.Role, o.Service)
+		c.IntervalMs = uint32(n.interval(o.Role).Milliseconds())
+	}
+	return c
+}
+
+// meet takes in what the sender says of itself.
+func (n *Node) meet(a *Announcement, c *Confirmation, now time.Time) {
+	self := a.Self
+	old, known := n.view.Find(self.Identity)
+	if known && old.Incarnation != self.Incarnation {
+		c.OtherIncarnation = old.Incarnation
+		c.OtherLeft = old.State == member.StateGone
+	}
+	if self.isBrief() {
+		c.UnknownSelf = !known || old.Incarnation != self.Incarnation || old.Sequence != self.Sequence
+	} else {
+		n.merge([]*Member{self}, now)
+	}
+	o, known := n.view.Find(self.Identity)
+	if !known || a.Bye || o.State == member.StateGone {
+		delete(n.direct, self.Identity)
+		return
+	}
+	c.Suspected = len(o.Witnesses) > 0
+	n.direct[self.Identity] = &direct{
+		role:     o.Role,
+		heard:    now,
+		interval: n.interval(o.Role),
+		inForce:  a.InForce,
+		counted:  a.Counted,
+	}
+}
+
+func (n *Node) merge(records []*Member, now time.Time) {
+	changed := false
+	for _, m := range records {
+		o, err := observedFrom(m)
+		if err != nil {
+			n.log.Warn("member-record-refused", "identity", m.Identity, "error", err.Error())
+			continue
+		}
+		if o.Identity == n.self.Identity {
+			n.refute(&o)
+			continue
+		}
+		if n.view.Merge(o, now) {
+			changed = true
+		}
+	}
+	if changed {
+		n.notify()
+	}
+}
+
+// refute answers witnesses that miss this process with a new sequence.
+func (n *Node) refute(o *member.Observed) {
+	if o.Incarnation == n.self.Incarnation && o.Sequence >= n.self.Sequence && len(o.Witnesses) > 0 {
+		n.self.Sequence = o.Sequence + 1
+		n.notify()
+	}
+}
+
+// compare reports whether the views of two balancers have differed for long.
+func (n *Node) compare(a *Announcement) bool {
+	id := a.Self.Identity
+	if a.Digest == 0 || a.Digest == n.digest() {
+		delete(n.mismatches, id)
+		return false
+	}
+	n.mismatches[id]++
+	if n.mismatches[id] < maxMismatches {
+		return false
+	}
+	delete(n.mismatches, id)
+	return true
+}
+
+func (n *Node) digest() uint64 {
+	own := member.NewView()
+	own.Merge(member.Observed{Record: n.self}, time.Time{})
+	return n.view.Digest() + own.Digest()
+}
+
+// changes returns the records that changed since a version and concern the sender,
+// without those that it has just sent itself.
+func (n *Node) changes(since uint64, a *Announcement, to *member.Record) []*Member {
+	var list []*Member
+	if since == 0 || a.Version == 0 {
+		list = append(list, memberTo(&member.Observed{Record: n.self}))
+	}
+	for _, o := range n.view.Since(since) {
+		if concerns(&o, a.Self.Identity, to) && !sent(a.Members, &o) {
+			list = append(list, memberTo(&o))
+		}
+	}
+	return list
+}
+
+func concerns(o *member.Observed, identity string, to *member.Record) bool {
+	if o.Identity == identity {
+		return false
+	}
+	return to.Role == member.RoleBalancer || o.Role == member.RoleBalancer || o.Service == to.Service
+}
+
+func sent(members []*Member, o *member.Observed) bool {
+	return slices.ContainsFunc(members, func(m *Member) bool {
+		return m.Identity == o.Identity && m.Incarnation == o.Incarnation && m.Sequence == o.Sequence && len(m.Witnesses) == len(o.Witnesses)
+	})
+}
+
+// interval is the time between announcements to this balancer.
+func (n *Node) interval(role member.Role) time.Duration {
+	if role == member.RoleBalancer {
+		if len(n.direct) > manyBalancers {
+			return manyBalancerInterval
+		}
+		return balancerInterval
+	}
+	return max(minInterval, time.Duration(len(n.direct))*intervalPerSidecar)
+}
+
+// Watch notes processes that announced themselves here and no longer do, as one
+// witness. When most fall silent at once, the fault is more likely here.
+func (n *Node) Watch(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var silent []string
+	for id, d := range n.direct {
+		if now.Sub(d.heard) > missedIntervals*d.interval+missedAfter {
+			silent = append(silent, id)
+		}
+	}
+	if len(silent)*2 > len(n.direct) && len(silent) > 1 {
+		return
+	}
+	for _, id := range silent {
+		delete(n.direct, id)
+		if n.view.Witness(id, n.self.Identity, now) {
+			n.log.Warn("member-silent", "member", id)
+			n.notify()
+		}
+	}
+	n.view.Expire(now)
+}
--- a/control/node.go
+++ b/control/node.go
@@ -1,5 +1,5 @@
-// Package control is the protocol by which processes announce themselves to
-// balancers, and learn of configuration and of one another.
+// Package control is the protocol by which processes announce themselves to a few
+// balancers, and by which configuration and membership spread among them.
 package control
 
 import (
@@ -15,27 +15,44 @@
 	"greengagedyke/service"
 )
 
-// Node is what one process knows: itself, the others, and the configuration in
-// force. It is safe for concurrent use.
+// Node is what one process knows: itself, the others, and the configuration. It is
+// safe for concurrent use.
 type Node struct {
 	log *slog.Logger
 
 	mu      sync.Mutex
 	view    *member.View
 	self    member.Record
-	cfg     *service.Configuration
-	raw     []byte
+	history *service.History
+	inForce uint64
 	changed chan struct{}
+	// direct are the processes that announce themselves here.
+	direct map[string]*direct
+	// mismatches counts the announcements in a row whose digest differed, by peer.
+	mismatches map[string]int
+	reports    map[string]storedReport
+}
+
+// direct is a process that announces itself to this balancer.
+type direct struct {
+	role     member.Role
+	heard    time.Time
+	interval time.Duration
+	inForce  uint64
+	counted  bool
 }
 
 // NewNode returns the node of the process that self describes.
 func NewNode(log *slog.Logger, self member.Record) *Node {
 	return &Node{
-		log:     log,
-		view:    member.NewView(),
-		self:    self,
-		cfg:     &service.Configuration{},
-		changed: make(chan struct{}),
+		log:        log,
+		view:       member.NewView(),
+		self:       self,
+		history:    service.NewHistory(),
+		changed:    make(chan struct{}),
+		direct:     map[string]*direct{},
+		mismatches: map[string]int{},
+		reports:    map[string]storedReport{},
 	}
 }
 
@@ -47,6 +64,7 @@
 	return n.changed
 }
 
+// notify wakes those that wait for a change. The caller holds mu.
 func (n *Node) notify() {
 	close(n.changed)
 	n.changed = make(chan struct{})
@@ -63,6 +81,10 @@
 func (n *Node) UpdateSelf(f func(r *member.Record)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.updateSelf(f)
+}
+
+func (n *Node) updateSelf(f func(r *member.Record)) {
 	before := n.self
 	f(&n.self)
 	if n.self == before {
@@ -72,157 +94,110 @@
 	n.notify()
 }
 
-// Configuration returns the configuration in force. It must not be changed.
+// Configuration returns the newest configuration that is known. It must not be
+// changed.
 func (n *Node) Configuration() *service.Configuration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cfg
+	return n.history.Current()
 }
 
-// Adopt puts an encoded configuration in force if it is newer than the one that
-// is, and reports whether it did. An older revision never follows a newer one.
-func (n *Node) Adopt(raw []byte) (bool, error) {
-	var cfg service.Configuration
-	if err := json.Unmarshal(raw, &cfg); err != nil {
-		return false, errors.Wrap(err, "control.Node.Adopt")
-	}
+// Adopt takes in a configuration if it is newer than the known one, and reports
+// whether it is. An older revision never follows a newer one.
+func (n *Node) Adopt(cfg *service.Configuration) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if cfg.Revision <= n.cfg.Revision {
-		return false, nil
+	return n.adopt(cfg)
+}
+
+func (n *Node) adopt(cfg *service.Configuration) bool {
+	before := n.history.Current().Revision
+	if cfg.Revision <= before {
+		return false
 	}
-	before := n.cfg.Revision
-	n.cfg = &cfg
-	n.raw = raw
-	if n.cfg.Revision <= before {
-		panic(fmt.Sprintf("control: revision %d replaced %d", n.cfg.Revision, before))
+	n.history.Advance(cfg)
+	if after := n.history.Current().Revision; after <= before {
+		panic(fmt.Sprintf("control: revision %d replaced %d", after, before))
 	}
 	n.notify()
-	return true, nil
-}
-
-// SetInForce notes that the process acts on a revision.
-func (n *Node) SetInForce(revision uint64) {
-	n.UpdateSelf(func(r *member.Record) {
-		if revision < r.Revision {
-			panic(fmt.Sprintf("control: revision %d in force after %d", revision, r.Revision))
-		}
-		r.Revision = revision
-	})
+	return true
 }
 
-// Service returns the members that may be used for a service.
-func (n *Node) Service(name string) []member.Observed {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.view.Service(name, time.Now())
+// adoptDelta takes in an encoded delta. One with another base is left out: the peer
+// sends a fitting one when it has heard which revision is known here.
+func (n *Node) adoptDelta(raw []byte) {
+	if len(raw) == 0 {
+		return
+	}
+	var d service.Delta
+	if err := json.Unmarshal(raw, &d); err != nil {
+		n.log.Error("delta-refused", "error", err.Error())
+		return
+	}
+	cfg, err := d.Apply(n.history.Current())
+	if errors.Is(err, service.ErrOtherBase) {
+		return
+	}
+	n.adopt(cfg)
 }
 
-// Balancers returns the live balancers.
-func (n *Node) Balancers() []member.Observed {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.view.Balancers(time.Now())
+// deltaFor returns the encoded delta for a process that knows revision; nil if it is
+// up to date. A sidecar gets the part that concerns its service.
+func (n *Node) deltaFor(revision uint64, role member.Role, svc string) []byte {
+	if revision >= n.history.Current().Revision {
+		return nil
+	}
+	d := n.history.Since(revision)
+	if role == member.RoleSidecar {
+		d = d.For(svc)
+	}
+	raw, err := json.Marshal(d)
+	if err != nil {
+		n.log.Error("delta-encode-failed", "error", err.Error())
+		return nil
+	}
+	return raw
 }
 
-// Members returns all known processes but this one.
-func (n *Node) Members() []member.Observed {
+// SetInForce notes that the process acts on a revision.
+func (n *Node) SetInForce(revision uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.view.All()
-}
-
-func (n *Node) merge(records []*Member) {
-	now := time.Now()
-	changed := false
-	for _, m := range records {
-		r, heard, err := observedFrom(m, now)
-		if err != nil {
-			n.log.Warn("member-record-refused", "identity", m.Identity, "error", err.Error())
-			continue
-		}
-		if r.Identity != n.self.Identity && n.view.Merge(r, heard) {
-			changed = true
-		}
+	if revision < n.inForce {
+		panic(fmt.Sprintf("control: revision %d in force after %d", revision, n.inForce))
 	}
-	if changed {
+	if revision > n.inForce {
+		n.inForce = revision
 		n.notify()
 	}
 }
 
-// answer serves an announcement.
-func (n *Node) answer(q *AnnounceRequest) *AnnounceAnswer {
+// InForce is the revision that the process acts on.
+func (n *Node) InForce() uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	a := &AnnounceAnswer{Revision: n.cfg.Revision}
-	if q.Self != nil {
-		if old, ok := n.view.Find(q.Self.Identity); ok && old.Incarnation != q.Self.Incarnation {
-			a.OtherIncarnation = old.Incarnation
-			a.OtherLeft = old.State == member.StateGone
-		}
-		n.merge([]*Member{q.Self})
-	}
-	n.merge(q.Others)
-	n.view.Expire(time.Now())
-	if n.cfg.Revision > q.KnownRevision {
-		a.Configuration = n.raw
-	}
-	a.View = n.view.Version()
-	a.Members = n.membersFor(q.Self)
-	return a
+	return n.inForce
 }
 
-// A sidecar needs its siblings and the balancers; a balancer needs everyone.
-func (n *Node) membersFor(asking *Member) []*Member {
-	now := time.Now()
-	list := []*Member{memberTo(&member.Observed{Record: n.self, Heard: now}, now)}
-	for _, o := range n.view.All() {
-		if asking != nil && !concerns(&o, asking) {
-			continue
-		}
-		list = append(list, memberTo(&o, now))
-	}
-	return list
-}
-
-func concerns(o *member.Observed, asking *Member) bool {
-	if o.Identity == asking.Identity {
-		return false
-	}
-	if member.Role(asking.Role) == member.RoleBalancer || o.Role == member.RoleBalancer {
-		return true
-	}
-	return o.Service == asking.Service
+// Service returns the members that may be used for a service.
+func (n *Node) Service(name string) []member.Observed {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.Service(name)
 }
 
-// learn takes in the answer to an announcement.
-func (n *Node) learn(a *AnnounceAnswer) error {
+// Balancers returns the live balancers, this process left out.
+func (n *Node) Balancers() []member.Observed {
 	n.mu.Lock()
-	n.merge(a.Members)
-	n.learnIncarnation(a.OtherIncarnation, a.OtherLeft)
-	n.mu.Unlock()
-	if len(a.Configuration) == 0 {
-		return nil
-	}
-	_, err := n.Adopt(a.Configuration)
-	return err
+	defer n.mu.Unlock()
+	return n.view.Balancers()
 }
 
-// A process whose former incarnation was lost names it. A clock that was set back
-// must not make it look older than that; once it serves, its incarnation is fixed.
-func (n *Node) learnIncarnation(other uint64, left bool) {
-	if other == 0 || n.self.State != member.StateStarting {
-		return
-	}
-	before := n.self
-	n.self.Incarnation = max(n.self.Incarnation, other+1)
-	if !left {
-		n.self.Former = max(n.self.Former, other)
-	}
-	if n.self != before {
-		n.self.Sequence++
-		n.notify()
-	}
+// Members returns all known processes but this one.
+func (n *Node) Members() []member.Observed {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.All()
 }
 
 // Lost reports whether a process that served a service lately is gone without
@@ -239,19 +214,3 @@
 	defer n.mu.Unlock()
 	return n.view.Left(identity, incarnation)
 }
-
-func (n *Node) request() *AnnounceRequest {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := time.Now()
-	q := &AnnounceRequest{
-		Self:          memberTo(&member.Observed{Record: n.self, Heard: now}, now),
-		KnownRevision: n.cfg.Revision,
-	}
-	if n.self.Role == member.RoleBalancer {
-		for _, o := range n.view.All() {
-			q.Others = append(q.Others, memberTo(&o, now))
-		}
-	}
-	return q
-}
--- a/control/wire.go
+++ b/control/wire.go
@@ -1,15 +1,15 @@
 package control
 
 import (
+	"encoding/binary"
 	"net/netip"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"greengagedyke/member"
 )
 
-func memberTo(o *member.Observed, now time.Time) *Member {
+func memberTo(o *member.Observed) *Member {
 	return &Member{
 		Role:          uint32(o.Role),
 		Identity:      o.Identity,
@@ -23,47 +23,65 @@
 		Incarnation:   o.Incarnation,
 		Sequence:      o.Sequence,
 		Former:        o.Former,
-		Revision:      o.Revision,
-		AgeMs:         uint32(now.Sub(o.Heard).Milliseconds()),
+		Homes:         uint32(o.Homes),
+		Witnesses:     o.Witnesses,
 	}
 }
 
-func addrTo(a netip.AddrPort) string {
-	if !a.IsValid() {
-		return ""
+const addrLen = 6
+
+func addrTo(a netip.AddrPort) []byte {
+	ip := a.Addr().As4()
+	return binary.BigEndian.AppendUint16(ip[:], a.Port())
+}
+
+func addrFrom(b []byte) (netip.AddrPort, bool) {
+	if len(b) != addrLen {
+		return netip.AddrPort{}, false
 	}
-	return a.String()
+	ip := netip.AddrFrom4([4]byte(b[:4]))
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[4:])), true
 }
 
 // Bounds of a record that another process sent.
 const (
 	maxIdentityLen = 128
 	maxSlots       = 1024
+	maxWitnesses   = 16
 )
 
-func observedFrom(m *Member, now time.Time) (member.Record, time.Time, error) {
-	r := member.Record{
-		Role:          member.Role(m.Role),
-		Identity:      m.Identity,
-		Service:       m.Service,
-		FailureDomain: m.FailureDomain,
-		Slots:         int(m.Slots),
-		State:         member.State(m.State),
-		Weight:        float64(m.Weight),
-		Incarnation:   m.Incarnation,
-		Sequence:      m.Sequence,
-		Former:        m.Former,
-		Revision:      m.Revision,
-	}
-	if r.Identity == "" || len(r.Identity) > maxIdentityLen || r.Slots > maxSlots {
-		return r, now, errors.New("control: record is out of bounds")
-	}
-	var err error
-	if r.Tunnel, err = netip.ParseAddrPort(m.Tunnel); err != nil {
-		return r, now, errors.Wrap(err, "control: tunnel address")
+// errRecord means that a record is out of bounds.
+var errRecord = errors.New("control: the record is out of bounds")
+
+func observedFrom(m *Member) (member.Observed, error) {
+	o := member.Observed{
+		Record: member.Record{
+			Role:          member.Role(m.Role),
+			Identity:      m.Identity,
+			Service:       m.Service,
+			FailureDomain: m.FailureDomain,
+			Slots:         int(m.Slots),
+			State:         member.State(m.State),
+			Weight:        float64(m.Weight),
+			Incarnation:   m.Incarnation,
+			Sequence:      m.Sequence,
+			Former:        m.Former,
+			Homes:         int(m.Homes),
+		},
+		Witnesses: m.Witnesses,
 	}
-	if r.Control, err = netip.ParseAddrPort(m.Control); err != nil {
-		return r, now, errors.Wrap(err, "control: control address")
+	var okTunnel, okControl bool
+	o.Tunnel, okTunnel = addrFrom(m.Tunnel)
+	o.Control, okControl = addrFrom(m.Control)
+	if o.Identity == "" || len(o.Identity) > maxIdentityLen || o.Slots > maxSlots || len(o.Witnesses) > maxWitnesses || !okTunnel || !okControl {
+		return o, errRecord
 	}
-	return r, now.Add(-time.Duration(m.AgeMs) * time.Millisecond), nil
+	return o, nil
+}
+
+// isBrief reports whether a record only names a sequence that the receiver knows.
+func (m *Member) isBrief() bool { return m.Role == 0 }
+
+func brief(r *member.Record) *Member {
+	return &Member{Identity: r.Identity, Incarnation: r.Incarnation, Sequence: r.Sequence}
 }
--- a/member/record.go
+++ b/member/record.go
@@ -3,10 +3,10 @@
 package member
 
 import (
-	"cmp"
+	"encoding/binary"
 	"net/netip"
-	"slices"
-	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State is what a sidecar says of itself, or what witnesses say of it.
@@ -69,8 +69,8 @@
 	// Former is the incarnation of the process before this one if that did not leave
 	// but was lost; else 0.
 	Former uint64
-	// Revision is the revision of the configuration in force in the process.
-	Revision uint64
+	// Homes is the number of balancers that the process announces itself to.
+	Homes int
 }
 
 // Newer reports whether r replaces old.
@@ -81,164 +81,13 @@
 	return r.Sequence > old.Sequence
 }
 
-// Records are records in the order of their identities.
-type Records []Record
-
-// Observed is a record with what this process saw of its writer.
-type Observed struct {
-	Record
-	// Heard is when the writer was last known to be alive.
-	Heard time.Time
-}
-
-// silence is how long a process may be unheard before it counts as gone.
-const silence = 3 * time.Second
-
-// forgetAfter is how long the record of a gone process is kept, so that an old
-// copy of it cannot come back.
-const forgetAfter = 10 * time.Minute
-
-// View is what one process knows of all others. It is not safe for concurrent use.
-type View struct {
-	members map[string]*Observed
-	version uint64
-}
-
-// NewView returns an empty view.
-func NewView() *View {
-	return &View{members: map[string]*Observed{}}
-}
-
-// Version grows with each change that others may have to act on.
-func (v *View) Version() uint64 { return v.version }
-
-// Merge takes in a record that was heard of at the time given, and reports
-// whether it changed the view. Older records change nothing.
-func (v *View) Merge(r Record, heard time.Time) bool {
-	old, ok := v.members[r.Identity]
-	if !ok {
-		v.members[r.Identity] = &Observed{Record: r, Heard: heard}
-		v.version++
-		return true
-	}
-	if heard.After(old.Heard) && !old.Newer(&r) {
-		old.Heard = heard
-	}
-	if !r.Newer(&old.Record) {
-		return false
-	}
-	before := old.Record
-	old.Record = r
-	v.assertMonotonic(&before, &old.Record)
-	v.version++
-	return true
-}
-
-func (*View) assertMonotonic(before, after *Record) {
-	if before.Newer(after) {
-		panic("member: an older record replaced a newer one of " + after.Identity)
-	}
-}
-
-// Expire forgets processes that have been silent for long.
-func (v *View) Expire(now time.Time) {
-	for id, o := range v.members {
-		if now.Sub(o.Heard) > forgetAfter {
-			delete(v.members, id)
-			v.version++
-		}
-	}
-}
-
-// Lost reports whether a process that served a service lately is gone without
-// having left: it is silent, or a new incarnation replaced it.
-func (v *View) Lost(name string, now time.Time) bool {
-	for _, o := range v.members {
-		if o.Role != RoleSidecar || o.Service != name {
-			continue
-		}
-		if o.State != StateGone && !o.Alive(now) || o.replacedLately(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// Left reports whether an incarnation of a process has ended after it left.
-func (v *View) Left(identity string, incarnation uint64) bool {
-	o, ok := v.members[identity]
-	if !ok {
-		return false
-	}
-	if o.Incarnation == incarnation {
-		return o.State == StateGone
-	}
-	return o.Incarnation > incarnation && o.Former == 0
-}
-
-// Incarnations are start times in nanoseconds.
-func (o *Observed) replacedLately(now time.Time) bool {
-	return o.Former != 0 && now.Sub(time.Unix(0, int64(o.Incarnation))) < forgetAfter
-}
-
-// Alive reports whether o has been heard lately and has not said that it is gone.
-func (o *Observed) Alive(now time.Time) bool {
-	return o.State != StateGone && now.Sub(o.Heard) <= silence
-}
-
-// Service returns the members that may be used for a service, in order of
-// identity. When more than half of those that did not leave are silent at once,
-// the fault is more likely between them and this process: all stay in use.
-func (v *View) Service(name string, now time.Time) []Observed {
-	var all, alive []Observed
-	for _, o := range v.members {
-		if o.Role != RoleSidecar || o.Service != name || o.State == StateGone {
-			continue
-		}
-		all = append(all, *o)
-		if o.Alive(now) {
-			alive = append(alive, *o)
-		}
-	}
-	chosen := alive
-	if len(alive)*2 < len(all) {
-		chosen = all
-	}
-	sortObserved(chosen)
-	return chosen
-}
-
-// Balancers returns the live balancers in order of identity.
-func (v *View) Balancers(now time.Time) []Observed {
-	var alive []Observed
-	for _, o := range v.members {
-		if o.Role == RoleBalancer && o.Alive(now) {
-			alive = append(alive, *o)
-		}
-	}
-	sortObserved(alive)
-	return alive
-}
-
-// All returns every known process in order of identity.
-func (v *View) All() []Observed {
-	var all []Observed
-	for _, o := range v.members {
-		all = append(all, *o)
-	}
-	sortObserved(all)
-	return all
-}
-
-func sortObserved(list []Observed) {
-	slices.SortFunc(list, func(a, b Observed) int { return cmp.Compare(a.Identity, b.Identity) })
-}
-
-// Find returns the record of a process.
-func (v *View) Find(identity string) (Observed, bool) {
-	o, ok := v.members[identity]
-	if !ok {
-		return Observed{}, false
-	}
-	return *o, true
+func (r *Record) digest() uint64 {
+	d := xxhash.New()
+	// Writing to a hash never fails.
+	_, _ = d.WriteString(r.Identity)
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], r.Incarnation)
+	binary.BigEndian.PutUint64(b[8:], r.Sequence)
+	_, _ = d.Write(b[:])
+	return d.Sum64()
 }
--- a/member/record_test.go
+++ b/member/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,17 +12,20 @@
 // Views that have merged the same records are equal, whatever the order; an older
 // record never replaces a newer one, which Merge asserts itself.
 func TestMergeNeedsNoOrder(t *testing.T) {
-	now := time.Unix(1000, 0)
 	rapid.Check(t, func(t *rapid.T) {
-		var records []Record
+		var records []Observed
 		for i := range rapid.IntRange(1, 20).Draw(t, "records") {
-			records = append(records, Record{
+			o := Observed{Record: Record{
 				Role:        RoleSidecar,
 				Identity:    fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "identity")),
 				Incarnation: uint64(rapid.IntRange(1, 3).Draw(t, "incarnation")),
-				Sequence:    uint64(i),
+				Sequence:    uint64(i / 2),
 				Service:     "s",
-			})
+			}}
+			o.unite(rapid.SliceOfN(rapid.SampledFrom([]string{"w1", "w2", "w3"}), 0, 2).Draw(t, "witnesses"))
+			// A record has one writer: what differs for one sequence are the witnesses.
+			o.Slots = int(o.Sequence)
+			records = append(records, o)
 		}
 		a, b := NewView(), NewView()
 		for _, r := range records {
@@ -32,10 +36,13 @@
 		}
 		for _, o := range a.All() {
 			other, ok := b.Find(o.Identity)
-			if !ok || other.Record != o.Record {
-				t.Fatalf("views differ on %s: %+v and %+v", o.Identity, o.Record, other.Record)
+			if !ok || other.Record != o.Record || !slices.Equal(other.Witnesses, o.Witnesses) {
+				t.Fatalf("views differ on %s: %+v and %+v", o.Identity, o, other)
 			}
 		}
+		if a.Digest() != b.Digest() {
+			t.Fatal("digests of equal views differ")
+		}
 	})
 }
 
@@ -47,47 +54,93 @@
 	return list
 }
 
-func view(heard map[string]time.Time) *View {
+var now = time.Unix(1000, 0)
+
+func ready(identity string) Observed {
+	return Observed{Record: Record{Role: RoleSidecar, Identity: identity, Service: "s", State: StateReady, Incarnation: 1, Homes: 3}}
+}
+
+func view(identities ...string) *View {
 	v := NewView()
-	for id, at := range heard {
-		v.Merge(Record{Role: RoleSidecar, Identity: id, Service: "s", State: StateReady, Incarnation: 1}, at)
+	for _, id := range identities {
+		v.Merge(ready(id), now)
 	}
 	return v
 }
 
-func TestServiceLeavesOutTheSilent(t *testing.T) {
-	now := time.Unix(1000, 0)
-	old := now.Add(-2 * silence)
-	v := view(map[string]time.Time{"1": now, "2": now, "3": old})
-	if got := v.Service("s", now); len(got) != 2 {
-		t.Errorf("%d members in use, want 2", len(got))
+// One witness may be cut off or paused; two take a member out of use, and a new
+// sequence of the member's own record brings it back.
+func TestSuspicionNeedsTwoWitnesses(t *testing.T) {
+	v := view("1", "2", "3")
+	v.Witness("3", "balancer-1", now)
+	if got := v.Service("s"); len(got) != 3 {
+		t.Errorf("%d members in use after one witness, want 3", len(got))
 	}
-	if !v.Lost("s", now) {
-		t.Error("a silent member does not count as lost")
+	v.Witness("3", "balancer-1", now)
+	v.Witness("3", "balancer-2", now)
+	if got := v.Service("s"); len(got) != 2 || !v.Lost("s", now) {
+		t.Errorf("%d members in use after two witnesses, want 2", len(got))
+	}
+	refuted := ready("3")
+	refuted.Sequence = 1
+	v.Merge(refuted, now)
+	if got := v.Service("s"); len(got) != 3 || v.Lost("s", now) {
+		t.Errorf("%d members in use after it spoke again, want 3", len(got))
 	}
 }
 
-// When most are silent at once, the fault is more likely here.
+// When most are silent at once, the fault is more likely with the witnesses.
 func TestServiceKeepsAllWhenMostFallSilent(t *testing.T) {
-	now := time.Unix(1000, 0)
-	old := now.Add(-2 * silence)
-	v := view(map[string]time.Time{"1": now, "2": old, "3": old})
-	if got := v.Service("s", now); len(got) != 3 {
+	v := view("1", "2", "3")
+	for _, id := range []string{"2", "3"} {
+		v.Witness(id, "balancer-1", now)
+		v.Witness(id, "balancer-2", now)
+	}
+	if got := v.Service("s"); len(got) != 3 {
 		t.Errorf("%d members in use, want all 3", len(got))
 	}
 }
 
+func TestSinceReturnsChanges(t *testing.T) {
+	v := view("1", "2")
+	version := v.Version()
+	if got := v.Since(version); len(got) != 0 {
+		t.Errorf("%d changes, want none", len(got))
+	}
+	v.Witness("1", "balancer-1", now)
+	if got := v.Since(version); len(got) != 1 || got[0].Identity != "1" {
+		t.Errorf("got %+v, want the change of 1", got)
+	}
+}
+
+func TestExpireForgetsOnlyTheGone(t *testing.T) {
+	v := view("1", "2")
+	gone := ready("2")
+	gone.Sequence = 1
+	gone.State = StateGone
+	v.Merge(gone, now)
+	v.Expire(now.Add(forgetAfter + time.Second))
+	if got := v.All(); len(got) != 1 || got[0].Identity != "1" {
+		t.Errorf("got %+v, want 1 alone", got)
+	}
+}
+
 func TestLeft(t *testing.T) {
-	now := time.Unix(1000, 0)
-	v := view(map[string]time.Time{"1": now})
+	v := view("1")
 	if v.Left("1", 1) {
 		t.Error("a ready process counts as left")
 	}
-	v.Merge(Record{Role: RoleSidecar, Identity: "1", Service: "s", State: StateGone, Incarnation: 1, Sequence: 1}, now)
+	gone := ready("1")
+	gone.State = StateGone
+	gone.Sequence = 1
+	v.Merge(gone, now)
 	if !v.Left("1", 1) || v.Lost("s", now) {
 		t.Error("a process that left does not count as left, or counts as lost")
 	}
-	v.Merge(Record{Role: RoleSidecar, Identity: "1", Service: "s", State: StateReady, Incarnation: 2, Former: 1}, now)
+	again := ready("1")
+	again.Incarnation = 2
+	again.Former = 1
+	v.Merge(again, now)
 	if v.Left("1", 1) {
 		t.Error("a process whose former incarnation was lost counts as left")
 	}
--- a/operator/api.go
+++ b/operator/api.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"greengagedyke/control"
 	"greengagedyke/member"
 	"greengagedyke/platform"
 	"greengagedyke/service"
@@ -33,21 +34,25 @@
 	Configuration() *service.Configuration
 	Members() []member.Observed
 	Self() member.Record
-	Adopt(raw []byte) (bool, error)
+	Adopt(cfg *service.Configuration) bool
 }
 
+// Collector asks where a revision is in force.
+type Collector func(ctx context.Context, revision uint64) control.Summary
+
 // API serves the resources.
 type API struct {
 	log   *slog.Logger
 	store Store
 	node  Node
+	where Collector
 	token string
 	mux   *http.ServeMux
 }
 
 // New returns the API. Every request must carry token as its bearer token.
-func New(log *slog.Logger, store Store, node Node, token string) *API {
-	a := &API{log: log, store: store, node: node, token: token, mux: http.NewServeMux()}
+func New(log *slog.Logger, store Store, node Node, where Collector, token string) *API {
+	a := &API{log: log, store: store, node: node, where: where, token: token, mux: http.NewServeMux()}
 	a.mux.HandleFunc("PUT /v1/configuration", a.apply)
 	a.mux.HandleFunc("GET /v1/configuration", a.get)
 	a.mux.HandleFunc("GET /v1/status", a.status)
@@ -116,7 +121,7 @@
 		return
 	}
 	a.log.Info("configuration-accepted", "revision", cfg.Revision)
-	a.adopt(cfg)
+	a.node.Adopt(cfg)
 	writeJSON(w, applied{Revision: cfg.Revision})
 }
 
@@ -145,17 +150,6 @@
 	return a.store.Write(r.Context(), cfg, current.Revision)
 }
 
-func (a *API) adopt(cfg *service.Configuration) {
-	raw, err := json.Marshal(cfg)
-	if err != nil {
-		a.log.Error("configuration-encode-failed", "error", err.Error())
-		return
-	}
-	if _, err := a.node.Adopt(raw); err != nil {
-		a.log.Error("configuration-adopt-failed", "error", err.Error())
-	}
-}
-
 func (a *API) refuse(w http.ResponseWriter, err error) {
 	var field *service.FieldError
 	var conflict *platform.ConflictError
@@ -179,10 +173,13 @@
 type Status struct {
 	Revision uint64         `json:"revision"`
 	Members  []MemberStatus `json:"members"`
-	// InForce is the number of processes that run the revision, of all that are known.
-	InForce int      `json:"in-force"`
-	Of      int      `json:"of"`
+	// InForce is the number of processes that act on the revision, of all that report.
+	InForce int `json:"in-force"`
+	Of      int `json:"of"`
+	// Missing names some of the processes that do not.
 	Missing []string `json:"missing,omitempty"`
+	// Silent names the failure domains that cannot be asked.
+	Silent []string `json:"silent-failure-domains,omitempty"`
 }
 
 // MemberStatus is what a balancer knows of one process.
@@ -191,34 +188,38 @@
 	Service       string `json:"service,omitempty"`
 	FailureDomain string `json:"failure-domain"`
 	State         string `json:"state"`
-	Revision      uint64 `json:"revision"`
+	// MissedBy names the balancers that no longer hear the process.
+	MissedBy []string `json:"missed-by,omitempty"`
 }
 
-func (a *API) status(w http.ResponseWriter, _ *http.Request) {
+func (a *API) status(w http.ResponseWriter, r *http.Request) {
 	s := Status{Revision: a.node.Configuration().Revision}
-	s.add(a.node.Self())
+	summary := a.where(r.Context(), s.Revision)
+	s.InForce = summary.InForce
+	s.Of = summary.Of
+	s.Missing = summary.Behind
+	s.Silent = summary.Silent
+	s.add(member.Observed{Record: a.node.Self()})
 	for _, o := range a.node.Members() {
 		if o.State != member.StateGone {
-			s.add(o.Record)
+			s.add(o)
 		}
 	}
 	writeJSON(w, s)
 }
 
-func (s *Status) add(r member.Record) {
-	s.Of++
-	if r.Revision >= s.Revision {
-		s.InForce++
-	} else {
-		s.Missing = append(s.Missing, r.Identity)
+func (s *Status) add(o member.Observed) {
+	m := MemberStatus{
+		Identity:      o.Identity,
+		Service:       o.Service,
+		FailureDomain: o.FailureDomain,
+		State:         o.State.String(),
+		MissedBy:      o.Witnesses,
+	}
+	if !o.Alive() {
+		m.State = "silent"
 	}
-	s.Members = append(s.Members, MemberStatus{
-		Identity:      r.Identity,
-		Service:       r.Service,
-		FailureDomain: r.FailureDomain,
-		State:         r.State.String(),
-		Revision:      r.Revision,
-	})
+	s.Members = append(s.Members, m)
 }
 
 // Ready is the number of processes that take new work.
--- a/session/session.go
+++ b/session/session.go
@@ -27,6 +27,7 @@
 	// probeAfter is how long a session with open calls may be silent before it must
 	// prove itself.
 	probeAfter = 400 * time.Millisecond
+	readBuffer = 512
 	// maxMessage is the largest message in bytes.
 	maxMessage = 2 << 20
 )
@@ -53,10 +54,12 @@
 	conn net.Conn
 	r    *bufio.Reader
 	mux  *yamux.Session
+	// waiting counts the calls that wait for an answer; nil at the serving end.
+	waiting *atomic.Int64
 }
 
-func newStream(conn net.Conn, mux *yamux.Session) *Stream {
-	return &Stream{conn: conn, r: bufio.NewReaderSize(conn, 512), mux: mux}
+func newStream(conn net.Conn, mux *yamux.Session, waiting *atomic.Int64) *Stream {
+	return &Stream{conn: conn, r: bufio.NewReaderSize(conn, readBuffer), mux: mux, waiting: waiting}
 }
 
 // Send writes one message.
@@ -69,6 +72,10 @@
 
 // Receive reads one message. io.EOF means that the peer ended the call.
 func (s *Stream) Receive(ctx context.Context, m proto.Message) error {
+	if s.waiting != nil {
+		s.waiting.Add(1)
+		defer s.waiting.Add(-1)
+	}
 	stop := context.AfterFunc(ctx, func() { s.conn.Close(); s.conn.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
 	opts := protodelim.UnmarshalOptions{MaxSize: maxMessage}
@@ -93,10 +100,12 @@
 // each write would be a TLS record and a system call of its own.
 type heardConn struct {
 	net.Conn
-	heard  atomic.Int64 // Unix time in nanoseconds
-	header [frameHeaderLen]byte
-	held   bool
-	frame  []byte
+	heard atomic.Int64 // Unix time in nanoseconds
+	// waiting is the number of calls that wait for an answer.
+	waiting atomic.Int64
+	header  [frameHeaderLen]byte
+	held    bool
+	frame   []byte
 }
 
 // The layout of a yamux frame header: version, type, flags, stream and length.
@@ -132,7 +141,7 @@
 	return n, err
 }
 
-// watch makes a session with open calls prove that it works whenever nothing has
+// watch makes a session on which calls wait for answers prove that it works whenever nothing has
 // been heard on it, and closes it when it does not, which ends all its calls. An
 // open connection can go silent for good while new ones work.
 func watch(conn *heardConn, mux *yamux.Session) {
@@ -145,7 +154,7 @@
 		case <-t.C:
 		}
 		silent := time.Since(time.Unix(0, conn.heard.Load()))
-		if mux.NumStreams() == 0 || silent < probeAfter {
+		if conn.waiting.Load() == 0 || silent < probeAfter {
 			continue
 		}
 		if _, err := mux.Ping(); err != nil {
@@ -193,7 +202,6 @@
 		conn.Close()
 		return
 	}
-	go watch(heard, mux)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { mux.Close() })
@@ -208,7 +216,7 @@
 		}
 		wg.Go(func() {
 			defer stream.Close()
-			handle(ctx, newStream(stream, mux))
+			handle(ctx, newStream(stream, mux, nil))
 		})
 	}
 }
@@ -221,6 +229,7 @@
 
 	mu   sync.Mutex
 	mux  *yamux.Session
+	conn *heardConn
 	dead bool
 }
 
@@ -239,6 +248,15 @@
 	}
 }
 
+// Reset closes the session, if one is open. The next call opens a new one.
+func (p *Peer) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mux != nil {
+		p.mux.Close()
+	}
+}
+
 // Addr is the peer's address.
 func (p *Peer) Addr() netip.AddrPort { return p.addr }
 
@@ -251,7 +269,7 @@
 		}
 		stream, err := mux.OpenStream()
 		if err == nil {
-			return newStream(stream, mux), nil
+			return newStream(stream, mux, &p.conn.waiting), nil
 		}
 		mux.Close()
 	}
@@ -282,6 +300,7 @@
 	}
 	go watch(heard, mux)
 	p.mux = mux
+	p.conn = heard
 	return mux, nil
 }
 
