Measure control against size and mend what the measurement shows

Found: a balancer that was no longer announced to was not told if an exchange was under way, and then counted the process as silent; every reunion with a seed sent the whole view; what a peer had just told was sent back to it; the interval given out and the one expected differed by one process. Change: the farewell is sent before a peer is dropped; equal digests send nothing; records just learned are not returned; tables are computed again only when the view has changed, and peers picked.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -40,6 +40,8 @@
 	keys      keys.Set
 	applied   *service.Configuration
 	tables    map[string]cachedTable
+	// version is the version of the membership that is in force.
+	version uint64
 	// failed is set while a binding could not be put in force.
 	failed bool
 }
@@ -208,23 +210,21 @@
 	}
 }
 
+// apply puts the known configuration and membership in force if anything changed.
 func (b *Balancer) apply() {
 	cfg := b.node.Configuration()
-	fresh := cfg != b.applied
-	if fresh {
-		set, err := keys.New(b.cfg.Secret, cfg)
-		if err != nil {
-			b.log.Error("keys-refused", "revision", cfg.Revision, "error", err.Error())
-			return
-		}
-		b.keys = set
-		b.applied = cfg
+	if cfg == b.applied && b.node.Version() == b.version && !b.failed {
+		return
+	}
+	if cfg != b.applied && !b.renewKeys(cfg) {
+		return
 	}
-	changed := b.failed
+	services, version := b.node.Services()
+	changed := cfg != b.applied || b.failed
 	var bindings fabric.Bindings
 	for i := range cfg.Services {
 		svc := &cfg.Services[i]
-		table, renewed := b.table(svc)
+		table, renewed := b.table(svc, services[svc.Name])
 		changed = changed || renewed
 		bindings = append(bindings, fabric.Binding{
 			Address: b.bindAddress(svc),
@@ -232,21 +232,33 @@
 			Sealer:  b.keys.Sealer,
 		})
 	}
-	if !fresh && !changed {
+	b.applied = cfg
+	b.version = version
+	if !changed {
 		return
 	}
-	if err := b.forwarder.Apply(bindings, b.keys.Sealer); err != nil {
+	err := b.forwarder.Apply(bindings, b.keys.Sealer)
+	b.failed = err != nil
+	if err != nil {
 		b.log.Error("configuration-not-in-force", "revision", cfg.Revision, "error", err.Error())
-		b.failed = true
 		return
 	}
-	b.failed = false
 	if b.node.InForce() != cfg.Revision {
 		b.node.SetInForce(cfg.Revision)
 		b.log.Info("configuration-in-force", "revision", cfg.Revision, "services", len(cfg.Services))
 	}
 }
 
+func (b *Balancer) renewKeys(cfg *service.Configuration) bool {
+	set, err := keys.New(b.cfg.Secret, cfg)
+	if err != nil {
+		b.log.Error("keys-refused", "revision", cfg.Revision, "error", err.Error())
+		return false
+	}
+	b.keys = set
+	return true
+}
+
 func (b *Balancer) bindAddress(svc *service.Service) netip.AddrPort {
 	if b.cfg.ServiceIP.IsValid() {
 		return netip.AddrPortFrom(b.cfg.ServiceIP, svc.Address.Port())
@@ -256,9 +268,9 @@
 
 // table returns the first-flight table of a service, computed again only when its
 // candidates have changed.
-func (b *Balancer) table(svc *service.Service) (*service.Table, bool) {
+func (b *Balancer) table(svc *service.Service, members []member.Observed) (*service.Table, bool) {
 	var candidates service.Candidates
-	for _, o := range b.node.Service(svc.Name) {
+	for _, o := range members {
 		if o.State != member.StateReady || o.Weight <= 0 || !svc.Upstreams.Allows(o.Identity, o.FailureDomain) {
 			continue
 		}
--- a/control/announcer.go
+++ b/control/announcer.go
@@ -38,6 +38,8 @@
 	mu      sync.Mutex
 	peers   map[netip.AddrPort]*peer
 	reunion time.Time
+	// picked is the version of the view at which the peers were picked.
+	picked uint64
 }
 
 // peer is a balancer that this process announces itself to, with what each side has
@@ -106,7 +108,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for addr, p := range a.peers {
-		due := time.Since(p.last) >= p.interval || p.sent != now
+		due := time.Since(p.last) >= p.interval || p.sent != now || !p.wanted
 		if p.busy || !due && !all {
 			continue
 		}
@@ -197,7 +199,14 @@
 	}
 }
 
+// updatePeers picks the balancers to announce to, when the view has changed or
+// somebody may have come back.
 func (a *Announcer) updatePeers() {
+	version := a.node.Version()
+	if version == a.picked && version > 0 && time.Since(a.reunion) < reunionInterval {
+		return
+	}
+	a.picked = version
 	wanted := a.targets()
 	self := a.node.Self()
 	known := len(a.node.Balancers())
@@ -230,7 +239,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
 	var c Confirmation
-	err := p.exchange(ctx, &Call{Announcement: a.node.announcement(p)}, &c)
+	announcement := a.node.announcement(p)
+	err := p.exchange(ctx, &Call{Announcement: announcement}, &c)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p.busy = false
@@ -243,7 +253,8 @@
 	} else {
 		a.node.learn(p, &c, now)
 	}
-	if !p.wanted {
+	// A balancer that has not been told counts this process as silent.
+	if announcement.Bye {
 		p.close()
 		delete(a.peers, addr)
 	}
@@ -306,10 +317,10 @@
 		return a
 	}
 	a.Digest = n.digest()
-	for _, o := range n.view.Since(p.sent.version) {
-		a.Members = append(a.Members, memberTo(&o))
-	}
 	if p.epoch != 0 {
+		for _, o := range n.view.Since(p.sent.version) {
+			a.Members = append(a.Members, memberTo(&o))
+		}
 		a.Delta = n.deltaFor(p.revision, member.RoleBalancer, "")
 	}
 	if p.collects {
@@ -328,14 +339,19 @@
 		p.sent.sequence = 0
 		p.sent.incarnation = 0
 	}
-	if c.SendAll || p.epoch != c.Epoch {
+	if c.SendAll || p.epoch != c.Epoch && c.Digest != n.digest() {
 		p.sent.version = 0
 	}
 	p.epoch = c.Epoch
 	p.version = c.Version
 	p.revision = c.Revision
 	p.interval = max(minInterval, time.Duration(c.IntervalMs)*time.Millisecond)
+	before := n.view.Version()
 	n.merge(c.Members, time.Now())
+	if p.sent.version == before {
+		// The balancer knows what it has just told.
+		p.sent.version = n.view.Version()
+	}
 	n.adoptDelta(c.Delta)
 	if c.Suspected {
 		n.self.Sequence++
--- a/control/answer.go
+++ b/control/answer.go
@@ -12,6 +12,8 @@
 const (
 	// minInterval is the shortest time between announcements of a sidecar.
 	minInterval = 500 * time.Millisecond
+	// maxInterval bounds the time until a sidecar learns of a change.
+	maxInterval = 4 * time.Second
 	// intervalPerSidecar bounds the announcements that one balancer gets: 8 a second.
 	intervalPerSidecar = 125 * time.Millisecond
 	// Balancers announce themselves more rarely when there are many, since each
@@ -64,19 +66,26 @@
 	}
 	o, known := n.view.Find(a.Self.Identity)
 	since := a.Version
+	c.Version = n.view.Version()
 	if a.Epoch != n.self.Incarnation {
 		since = 0
 	}
-	if known && o.Role == member.RoleBalancer && n.compare(a) {
-		c.SendAll = true
-		since = 0
+	if known && o.Role == member.RoleBalancer {
+		c.Digest = n.digest()
+		switch {
+		case a.Digest == c.Digest:
+			delete(n.mismatches, o.Identity)
+			// Equal views have nothing to tell each other, also on first contact.
+			since = max(1, c.Version)
+		case n.compare(a):
+			c.SendAll = true
+			since = 0
+		}
 	}
-	c.Version = n.view.Version()
 	c.Revision = n.history.Current().Revision
 	c.Members = n.changes(since, a, &o.Record)
 	if known {
 		c.Delta = n.deltaFor(a.Revision, o.Role, o.Service)
-		c.IntervalMs = uint32(n.interval(o.Role).Milliseconds())
 	}
 	return c
 }
@@ -100,13 +109,10 @@
 		return
 	}
 	c.Suspected = len(o.Witnesses) > 0
-	n.direct[self.Identity] = &direct{
-		role:     o.Role,
-		heard:    now,
-		interval: n.interval(o.Role),
-		inForce:  a.InForce,
-		counted:  a.Counted,
-	}
+	d := &direct{role: o.Role, heard: now, inForce: a.InForce, counted: a.Counted}
+	n.direct[self.Identity] = d
+	d.interval = n.interval(o.Role)
+	c.IntervalMs = uint32(d.interval.Milliseconds())
 }
 
 func (n *Node) merge(records []*Member, now time.Time) {
@@ -138,13 +144,10 @@
 	}
 }
 
-// compare reports whether the views of two balancers have differed for long.
+// compare reports whether the views of two balancers have differed for long. It is
+// called for each announcement whose digest differs.
 func (n *Node) compare(a *Announcement) bool {
 	id := a.Self.Identity
-	if a.Digest == 0 || a.Digest == n.digest() {
-		delete(n.mismatches, id)
-		return false
-	}
 	n.mismatches[id]++
 	if n.mismatches[id] < maxMismatches {
 		return false
@@ -163,7 +166,7 @@
 // without those that it has just sent itself.
 func (n *Node) changes(since uint64, a *Announcement, to *member.Record) []*Member {
 	var list []*Member
-	if since == 0 || a.Version == 0 {
+	if since == 0 {
 		list = append(list, memberTo(&member.Observed{Record: n.self}))
 	}
 	for _, o := range n.view.Since(since) {
@@ -189,13 +192,13 @@
 
 // interval is the time between announcements to this balancer.
 func (n *Node) interval(role member.Role) time.Duration {
-	if role == member.RoleBalancer {
-		if len(n.direct) > manyBalancers {
-			return manyBalancerInterval
-		}
-		return balancerInterval
+	if role != member.RoleBalancer {
+		return min(maxInterval, max(minInterval, time.Duration(len(n.direct))*intervalPerSidecar))
+	}
+	if len(n.direct) > manyBalancers {
+		return manyBalancerInterval
 	}
-	return max(minInterval, time.Duration(len(n.direct))*intervalPerSidecar)
+	return balancerInterval
 }
 
 // Watch notes processes that announced themselves here and no longer do, as one
--- a/control/node.go
+++ b/control/node.go
@@ -186,6 +186,21 @@
 	return n.view.Service(name)
 }
 
+// Services returns the members that may be used, by service, and the version of the
+// view that they belong to.
+func (n *Node) Services() (map[string][]member.Observed, uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.Services(), n.view.Version()
+}
+
+// Version is the version of the view; it grows with each change.
+func (n *Node) Version() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.Version()
+}
+
 // Balancers returns the live balancers, this process left out.
 func (n *Node) Balancers() []member.Observed {
 	n.mu.Lock()
--- a/member/view.go
+++ b/member/view.go
@@ -141,9 +141,24 @@
 // identity. When more than half of those that did not leave are silent at once, the
 // fault is more likely between them and the witnesses: all stay in use.
 func (v *View) Service(name string) []Observed {
-	all := v.list(func(o *Observed) bool {
+	return usable(v.list(func(o *Observed) bool {
 		return o.Role == RoleSidecar && o.Service == name && o.State != StateGone
-	})
+	}))
+}
+
+// Services returns what Service returns, for all services at once.
+func (v *View) Services() map[string][]Observed {
+	all := map[string][]Observed{}
+	for _, o := range v.list(func(o *Observed) bool { return o.Role == RoleSidecar && o.State != StateGone }) {
+		all[o.Service] = append(all[o.Service], o)
+	}
+	for name, list := range all {
+		all[name] = usable(list)
+	}
+	return all
+}
+
+func usable(all []Observed) []Observed {
 	alive := slices.DeleteFunc(slices.Clone(all), func(o Observed) bool { return !o.Alive() })
 	if len(alive)*2 < len(all) {
 		return all
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -99,3 +99,17 @@
 		})
 	}
 }
+
+func BenchmarkNewTable(b *testing.B) {
+	for _, n := range []int{7, 100} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			var list Candidates
+			for i := range n {
+				list = append(list, candidate(i))
+			}
+			for b.Loop() {
+				NewTable(list)
+			}
+		})
+	}
+}
--- a/session/credentials.go
+++ b/session/credentials.go
@@ -9,6 +9,8 @@
 	"crypto/tls"
 	"crypto/x509"
 	"math/big"
+	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +21,36 @@
 type Credentials struct {
 	certificate tls.Certificate
 	public      ed25519.PublicKey
+	traffic     *Traffic
+}
+
+// Traffic counts the bytes that a process's sessions carry, TLS included.
+type Traffic struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
+}
+
+// Traffic returns the count of all sessions that use the credentials.
+func (c *Credentials) Traffic() *Traffic { return c.traffic }
+
+// countedConn counts what is sent and received.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Sent.Add(int64(n))
+	return n, err
 }
 
 // minSecretLen is the shortest accepted system secret in bytes.
@@ -47,6 +79,7 @@
 	return &Credentials{
 		certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key},
 		public:      public,
+		traffic:     &Traffic{},
 	}, nil
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -170,13 +170,12 @@
 // Serve accepts sessions from ln and serves their calls until ctx ends; then it
 // closes everything and waits for the handlers.
 func Serve(ctx context.Context, log *slog.Logger, ln net.Listener, c *Credentials, handle Handler) {
-	tlsListener := tls.NewListener(ln, c.config())
-	stop := context.AfterFunc(ctx, func() { tlsListener.Close() })
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for {
-		conn, err := tlsListener.Accept()
+		conn, err := ln.Accept()
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -185,13 +184,14 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		wg.Go(func() { serveSession(ctx, conn, handle) })
+		secured := tls.Server(&countedConn{Conn: conn, traffic: c.traffic}, c.config())
+		wg.Go(func() { serveSession(ctx, secured, handle) })
 	}
 }
 
-func serveSession(ctx context.Context, conn net.Conn, handle Handler) {
+func serveSession(ctx context.Context, conn *tls.Conn, handle Handler) {
 	conn.SetDeadline(time.Now().Add(dialTimeout))
-	if err := conn.(*tls.Conn).HandshakeContext(ctx); err != nil {
+	if err := conn.HandshakeContext(ctx); err != nil {
 		conn.Close()
 		return
 	}
@@ -287,11 +287,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := tls.Dialer{NetDialer: &net.Dialer{}, Config: p.credentials.config()}
-	conn, err := d.DialContext(ctx, "tcp4", p.addr.String())
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp4", p.addr.String())
 	if err != nil {
 		return nil, err
 	}
+	conn := tls.Client(&countedConn{Conn: raw, traffic: p.credentials.traffic}, p.credentials.config())
+	if err := conn.HandshakeContext(ctx); err != nil {
+		raw.Close()
+		return nil, err
+	}
 	heard := &heardConn{Conn: conn}
 	mux, err := yamux.Client(heard, yamuxConfig())
 	if err != nil {
