Let fewer requests wait at siblings

Cause: several bids of one request are granted at the same time at the crest, and the slots of the losers idle until the withdrawal arrives. Change: one waiting offer a slot and sidecar instead of two.

--- a/sidecar/acquire.go
+++ b/sidecar/acquire.go
@@ -22,7 +22,7 @@
 	maxBids = 4
 	// queueBidsPerSlot bounds the requests of this sidecar that wait in siblings'
 	// queues: enough to keep a sibling's slots busy, and no more talk than that.
-	queueBidsPerSlot = 2
+	queueBidsPerSlot = 1
 )
 
 // slot is a granted slot, here or at a sibling.
