Say when nobody knows whether a change was accepted; tests of the store

Cause: an apply whose answer was lost just before an outage of the store was refused as not accepted, though it may have taken effect. Found: writing the tests of lost answers and outages. Tests: ten operators race, answers lost, outages, watches, budget, refusals of the API. Measured: with lost answers counted as an unavailable store, as before, the tests of the lost answer fail; with the change they pass.

--- a/cmd/greengagedyke/apply.go
+++ b/cmd/greengagedyke/apply.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"greengagedyke/operator"
 	"greengagedyke/service"
 	"greengagedyke/settings"
 )
@@ -22,7 +23,8 @@
 
 type applyCommand struct {
 	apiOptions
-	Dir string `long:"file" short:"f" required:"true" value-name:"DIR" description:"directory of declarations, or one file"`
+	If  *uint64 `long:"if-revision" value-name:"N" description:"only apply if this revision is still in force"`
+	Dir string  `long:"file" short:"f" required:"true" value-name:"DIR" description:"directory of declarations, or one file"`
 }
 
 // Execute implements flags.Commander.
@@ -35,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	revision, err := client.Apply(context.Background(), services)
+	revision, err := c.apply(client, services)
 	if err != nil {
 		return err
 	}
@@ -43,6 +45,13 @@
 	return nil
 }
 
+func (c *applyCommand) apply(client *operator.Client, services service.Services) (uint64, error) {
+	if c.If != nil {
+		return client.ApplyTo(context.Background(), services, *c.If)
+	}
+	return client.Apply(context.Background(), services)
+}
+
 func readDeclarations(dir string) (service.Services, error) {
 	files := []string{dir}
 	if info, err := os.Stat(dir); err == nil && info.IsDir() {
--- a/operator/api.go
+++ b/operator/api.go
@@ -136,10 +136,6 @@
 }
 
 func (a *API) write(r *http.Request, cfg *service.Configuration) error {
-	expected, err := strconv.ParseUint(r.Header.Get(platform.IfRevisionHeader), 10, 64)
-	if err == nil {
-		return a.store.Write(r.Context(), cfg, expected)
-	}
 	current, err := a.store.Read(r.Context())
 	if err != nil {
 		return err
@@ -147,7 +143,14 @@
 	if len(cfg.Keys) == 0 {
 		cfg.Keys = current.Keys
 	}
-	return a.store.Write(r.Context(), cfg, current.Revision)
+	expected, err := strconv.ParseUint(r.Header.Get(platform.IfRevisionHeader), 10, 64)
+	if err != nil {
+		expected = current.Revision
+	}
+	if expected != current.Revision {
+		return &platform.ConflictError{Revision: current.Revision}
+	}
+	return a.store.Write(r.Context(), cfg, expected)
 }
 
 func (a *API) refuse(w http.ResponseWriter, err error) {
@@ -158,6 +161,8 @@
 		writeProblem(w, http.StatusUnprocessableEntity, problem{Title: field.Problem, Resource: field.Resource, Field: field.Field})
 	case errors.As(err, &conflict):
 		writeProblem(w, http.StatusConflict, problem{Title: "another change came first", Revision: conflict.Revision})
+	case errors.Is(err, platform.ErrAnswerLost):
+		writeProblem(w, http.StatusGatewayTimeout, problem{Title: "outcome unknown: the store's answer was lost, the change may be accepted"})
 	default:
 		writeProblem(w, http.StatusServiceUnavailable, problem{Title: "not accepted: " + err.Error()})
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -7,10 +7,12 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"greengagedyke/platform"
 	"greengagedyke/service"
 )
 
@@ -48,26 +50,37 @@
 
 // Apply replaces all services and returns the accepted revision.
 func (c *Client) Apply(ctx context.Context, services service.Services) (uint64, error) {
+	return c.apply(ctx, services, nil)
+}
+
+// ApplyTo replaces all services if the revision given is still in force; otherwise
+// the error names the one that is.
+func (c *Client) ApplyTo(ctx context.Context, services service.Services, revision uint64) (uint64, error) {
+	header := http.Header{platform.IfRevisionHeader: {strconv.FormatUint(revision, 10)}}
+	return c.apply(ctx, services, header)
+}
+
+func (c *Client) apply(ctx context.Context, services service.Services, header http.Header) (uint64, error) {
 	var a applied
-	err := c.call(ctx, http.MethodPut, "/v1/configuration", declarations{Services: services}, &a)
+	err := c.call(ctx, http.MethodPut, "/v1/configuration", header, declarations{Services: services}, &a)
 	return a.Revision, err
 }
 
 // Configuration returns the configuration in force at the balancer, without keys.
 func (c *Client) Configuration(ctx context.Context) (*service.Configuration, error) {
 	cfg := &service.Configuration{}
-	err := c.call(ctx, http.MethodGet, "/v1/configuration", nil, cfg)
+	err := c.call(ctx, http.MethodGet, "/v1/configuration", nil, nil, cfg)
 	return cfg, err
 }
 
 // Status returns what the balancer knows of all processes.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var s Status
-	err := c.call(ctx, http.MethodGet, "/v1/status", nil, &s)
+	err := c.call(ctx, http.MethodGet, "/v1/status", nil, nil, &s)
 	return s, err
 }
 
-func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, in, out any) error {
 	var body io.Reader = http.NoBody
 	if in != nil {
 		data, err := json.Marshal(in)
@@ -80,6 +93,9 @@
 	if err != nil {
 		return errors.Wrap(err, "operator.Client.call")
 	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
 	request.Header.Set("Authorization", "Bearer "+c.token)
 	response, err := c.http.Do(request)
 	if err != nil {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -38,6 +38,8 @@
 	Delay time.Duration `json:"delay"`
 	// LoseAnswers is the number of writes whose answer is lost after they took effect.
 	LoseAnswers int `json:"lose-answers"`
+	// DownAfterLoss makes every call fail after an answer was lost.
+	DownAfterLoss bool `json:"down-after-loss"`
 }
 
 // Store is the stand-in.
@@ -196,6 +198,7 @@
 	s.changed = make(chan struct{})
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
+		s.faults.Down = s.faults.DownAfterLoss
 		lose = true
 	}
 	return s.revision, true, lose
