Merge the time lines of all processes

Cause: what happened to a request or a revision had to be pieced together from the logs of many processes. Change: each process keeps 2,048 typed events stamped by a hybrid logical clock that announcements carry; the command timeline asks all processes and prints one order, filtered by request, upstream, kind, revision and time. Comparisons count short reads for 15 s instead of 3.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -19,6 +19,7 @@
 	"greengagedyke/platform"
 	"greengagedyke/service"
 	"greengagedyke/session"
+	"greengagedyke/timeline"
 )
 
 const (
@@ -72,7 +73,8 @@
 	}
 	defer closeForwarder()
 	b.forwarder = forwarder
-	b.node = control.NewNode(b.log, b.record())
+	ring := timeline.NewRing(b.cfg.Identity, timeline.NewClock(time.Now))
+	b.node = control.NewNode(b.log, b.record(), ring)
 	sessions, err := net.Listen("tcp4", b.cfg.Control.String())
 	if err != nil {
 		return err
@@ -90,7 +92,7 @@
 		func(ctx context.Context) { session.Serve(ctx, b.log, sessions, credentials, b.node.Handle) },
 		func(ctx context.Context) { b.watchStore(ctx, store) },
 		func(ctx context.Context) {
-			b.serveAPI(ctx, api, operator.New(b.log, store, b.node, b.collector(credentials), b.cfg.APIToken))
+			b.serveAPI(ctx, api, operator.New(b.log, store, b.node, b.questions(credentials), b.cfg.APIToken))
 		},
 		b.announce(credentials),
 		b.follow,
@@ -140,10 +142,15 @@
 	}
 }
 
-// collector asks where a revision is in force.
-func (b *Balancer) collector(credentials *session.Credentials) operator.Collector {
-	return func(ctx context.Context, revision uint64) control.Summary {
-		return b.node.Collect(ctx, credentials, revision)
+// questions are what operators ask all processes.
+func (b *Balancer) questions(credentials *session.Credentials) operator.Questions {
+	return operator.Questions{
+		Where: func(ctx context.Context, revision uint64) control.Summary {
+			return b.node.Collect(ctx, credentials, revision)
+		},
+		Events: func(ctx context.Context, f timeline.Filter) (timeline.Events, []string, error) {
+			return b.node.Timeline(ctx, credentials, f)
+		},
 	}
 }
 
--- a/cmd/greengagedyke/main.go
+++ b/cmd/greengagedyke/main.go
@@ -43,6 +43,7 @@
 		{"apply", applyShort, applyUsage, &applyCommand{}},
 		{"get", getShort, getUsage, &getCommand{}},
 		{"status", statusShort, statusUsage, &statusCommand{}},
+		{"timeline", timelineShort, timelineUsage, &timelineCommand{}},
 		{"demo", demoShort, demoUsage, &demoCommand{}},
 		{"version", versionShort, versionUsage, &versionCommand{}},
 	} {
--- a/control/announcer.go
+++ b/control/announcer.go
@@ -11,6 +11,7 @@
 	"greengagedyke/member"
 	"greengagedyke/service"
 	"greengagedyke/session"
+	"greengagedyke/timeline"
 )
 
 const (
@@ -308,6 +309,8 @@
 		Counted:  p.counted,
 		Bye:      !p.wanted,
 	}
+	stamp := n.ring.Clock().Next()
+	a.Wall, a.Logical = uint64(stamp.Wall), stamp.Logical
 	if p.epoch != 0 && p.sent.incarnation == n.self.Incarnation && p.sent.sequence == n.self.Sequence {
 		a.Self = brief(&n.self)
 	} else {
@@ -333,6 +336,7 @@
 func (n *Node) learn(p *peer, c *Confirmation, now progress) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.ring.Clock().Hear(timeline.Stamp{Wall: int64(c.Wall), Logical: c.Logical})
 	n.learnIncarnation(c.OtherIncarnation, c.OtherLeft)
 	p.sent = now
 	if c.UnknownSelf || c.SendAll || p.epoch != c.Epoch {
--- a/control/answer.go
+++ b/control/answer.go
@@ -7,6 +7,7 @@
 
 	"greengagedyke/member"
 	"greengagedyke/session"
+	"greengagedyke/timeline"
 )
 
 const (
@@ -42,6 +43,8 @@
 			err = s.Send(n.confirm(c.Announcement))
 		case c.Collect != nil:
 			err = s.Send(n.collected())
+		case len(c.Timeline) > 0:
+			err = n.sendTimeline(s, c.Timeline)
 		default:
 			return
 		}
@@ -57,7 +60,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	c := &Confirmation{Epoch: n.self.Incarnation}
+	n.ring.Clock().Hear(timeline.Stamp{Wall: int64(a.Wall), Logical: a.Logical})
+	stamp := n.ring.Clock().Next()
+	c := &Confirmation{Epoch: n.self.Incarnation, Wall: uint64(stamp.Wall), Logical: stamp.Logical}
 	n.meet(a, c, now)
 	n.merge(a.Members, now)
 	n.adoptDelta(a.Delta)
@@ -219,6 +224,7 @@
 		delete(n.direct, id)
 		if n.view.Witness(id, n.self.Identity, now) {
 			n.log.Warn("member-silent", "member", id)
+			n.ring.Add(timeline.Event{Kind: timeline.KindMemberSilent, Upstream: id})
 			n.notify()
 		}
 	}
--- a/control/node.go
+++ b/control/node.go
@@ -13,12 +13,14 @@
 
 	"greengagedyke/member"
 	"greengagedyke/service"
+	"greengagedyke/timeline"
 )
 
 // Node is what one process knows: itself, the others, and the configuration. It is
 // safe for concurrent use.
 type Node struct {
-	log *slog.Logger
+	log  *slog.Logger
+	ring *timeline.Ring
 
 	mu      sync.Mutex
 	view    *member.View
@@ -42,10 +44,12 @@
 	counted  bool
 }
 
-// NewNode returns the node of the process that self describes.
-func NewNode(log *slog.Logger, self member.Record) *Node {
+// NewNode returns the node of the process that self describes. It notes what it
+// sees in ring.
+func NewNode(log *slog.Logger, self member.Record, ring *timeline.Ring) *Node {
 	return &Node{
 		log:        log,
+		ring:       ring,
 		view:       member.NewView(),
 		self:       self,
 		history:    service.NewHistory(),
@@ -91,6 +95,9 @@
 		return
 	}
 	n.self.Sequence++
+	if n.self.State != before.State {
+		n.ring.Add(timeline.Event{Kind: timeline.KindMemberState, Detail: n.self.State.String()})
+	}
 	n.notify()
 }
 
@@ -168,6 +175,7 @@
 	}
 	if revision > n.inForce {
 		n.inForce = revision
+		n.ring.Add(timeline.Event{Kind: timeline.KindInForce, Revision: revision})
 		n.notify()
 	}
 }
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -14,6 +14,7 @@
 	"greengagedyke/member"
 	"greengagedyke/service"
 	"greengagedyke/session"
+	"greengagedyke/timeline"
 )
 
 // process is a balancer or sidecar as far as control goes.
@@ -35,6 +36,8 @@
 
 const domains = 11
 
+func newRing() *timeline.Ring { return timeline.NewRing("process", timeline.NewClock(time.Now)) }
+
 func (f *fleet) start(role member.Role, svc string, seeds []netip.AddrPort) *process {
 	f.t.Helper()
 	c, err := session.NewCredentials([]byte("0123456789abcdef"))
@@ -53,7 +56,7 @@
 		Role: role, Identity: fmt.Sprintf("process-%d", f.started), Service: svc, Tunnel: addr, Control: addr,
 		FailureDomain: fmt.Sprintf("domain-%d", f.started%domains), Slots: 2, State: member.StateReady, Weight: 1,
 		Incarnation: uint64(time.Now().UnixNano()),
-	})
+	}, newRing())
 	p.announcer = NewAnnouncer(log, p.node, c, seeds)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 3)
@@ -248,7 +251,7 @@
 func BenchmarkDesignSize(b *testing.B) {
 	const balancers, sidecars, services = 550, 3200, 450
 	empty := heap()
-	n := NewNode(slog.New(slog.DiscardHandler), record(0, member.RoleBalancer, ""))
+	n := NewNode(slog.New(slog.DiscardHandler), record(0, member.RoleBalancer, ""), newRing())
 	for i := 1; i < balancers; i++ {
 		n.view.Merge(member.Observed{Record: record(i, member.RoleBalancer, "")}, time.Now())
 	}
--- a/demo/run.go
+++ b/demo/run.go
@@ -83,7 +83,7 @@
 	}
 	for _, spec := range Deployments() {
 		wg.Go(func() {
-			r, err := runDeployment(ctx, log, spec, say)
+			r, err := runDeployment(ctx, log, spec, shortScene, say)
 			mu.Lock()
 			defer mu.Unlock()
 			results[spec.Name] = r
@@ -109,7 +109,7 @@
 		if baseline != sidecar.BaselineNone {
 			spec.Name = "baseline-" + string(baseline)
 		}
-		r, err := runDeployment(ctx, log, spec, say)
+		r, err := runDeployment(ctx, log, spec, longShortScene, say)
 		if err != nil {
 			return results, err
 		}
@@ -120,7 +120,7 @@
 
 type sayFunc func(format string, args ...any)
 
-func runDeployment(ctx context.Context, log *slog.Logger, spec Spec, say sayFunc) (*Result, error) {
+func runDeployment(ctx context.Context, log *slog.Logger, spec Spec, shortScene time.Duration, say sayFunc) (*Result, error) {
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	began := time.Now()
@@ -130,7 +130,7 @@
 	}
 	defer stop()
 	say("%-10s  started in %s, configuration in force on all", spec.Name, time.Since(began).Round(time.Millisecond))
-	p := &play{Site: s, say: say, result: &Result{}}
+	p := &play{Site: s, say: say, shortScene: shortScene, result: &Result{}}
 	p.run(ctx)
 	return p.result, p.err
 }
@@ -138,20 +138,24 @@
 // play is the demo's script on one deployment.
 type play struct {
 	*Site
-	say    sayFunc
-	result *Result
-	err    error
+	say sayFunc
+	// shortScene is how long short reads are counted without, and then with, long work.
+	shortScene time.Duration
+	result     *Result
+	err        error
 }
 
 // Lengths of the script's scenes.
 const (
 	warmTime     = 2200 * time.Millisecond
 	shortScene   = 3 * time.Second
-	longScene    = 3 * time.Second
-	failureScene = 3500 * time.Millisecond
-	crestScene   = 4 * time.Second
-	crestFactor  = 5
-	fabricNotice = 200 * time.Millisecond
+	saturateTime = time.Second
+	// longShortScene gives comparisons enough reads for a 99th percentile.
+	longShortScene = 15 * time.Second
+	failureScene   = 3500 * time.Millisecond
+	crestScene     = 4 * time.Second
+	crestFactor    = 5
+	fabricNotice   = 200 * time.Millisecond
 )
 
 func (p *play) run(ctx context.Context) {
@@ -188,13 +192,13 @@
 func (p *play) shortScenes(l *load.Load, long float64) {
 	l.Mark()
 	before := p.work()
-	time.Sleep(shortScene)
+	time.Sleep(p.shortScene)
 	without := l.SinceMark()
 	p.say("%-10s  without long work: short p99 %s", p.Name, without.Counts[load.KindShort].P99)
 	l.SetRate(load.KindDownload, saturating*long)
-	time.Sleep(shortScene / 3)
+	time.Sleep(saturateTime)
 	l.Mark()
-	time.Sleep(longScene)
+	time.Sleep(p.shortScene)
 	with := l.SinceMark()
 	l.SetRate(load.KindDownload, long)
 	p.result.Imbalance = imbalance(before, p.work())
--- a/operator/api.go
+++ b/operator/api.go
@@ -18,6 +18,7 @@
 	"greengagedyke/member"
 	"greengagedyke/platform"
 	"greengagedyke/service"
+	"greengagedyke/timeline"
 )
 
 // maxBody is the largest request body in bytes.
@@ -37,25 +38,31 @@
 	Adopt(cfg *service.Configuration) bool
 }
 
-// Collector asks where a revision is in force.
-type Collector func(ctx context.Context, revision uint64) control.Summary
+// Questions are put to all processes.
+type Questions struct {
+	// Where asks where a revision is in force.
+	Where func(ctx context.Context, revision uint64) control.Summary
+	// Events merges the time lines, and names the processes that did not answer.
+	Events func(ctx context.Context, f timeline.Filter) (timeline.Events, []string, error)
+}
 
 // API serves the resources.
 type API struct {
 	log   *slog.Logger
 	store Store
 	node  Node
-	where Collector
+	ask   Questions
 	token string
 	mux   *http.ServeMux
 }
 
 // New returns the API. Every request must carry token as its bearer token.
-func New(log *slog.Logger, store Store, node Node, where Collector, token string) *API {
-	a := &API{log: log, store: store, node: node, where: where, token: token, mux: http.NewServeMux()}
+func New(log *slog.Logger, store Store, node Node, ask Questions, token string) *API {
+	a := &API{log: log, store: store, node: node, ask: ask, token: token, mux: http.NewServeMux()}
 	a.mux.HandleFunc("PUT /v1/configuration", a.apply)
 	a.mux.HandleFunc("GET /v1/configuration", a.get)
 	a.mux.HandleFunc("GET /v1/status", a.status)
+	a.mux.HandleFunc("GET /v1/timeline", a.timeline)
 	return a
 }
 
@@ -199,7 +206,7 @@
 
 func (a *API) status(w http.ResponseWriter, r *http.Request) {
 	s := Status{Revision: a.node.Configuration().Revision}
-	summary := a.where(r.Context(), s.Revision)
+	summary := a.ask.Where(r.Context(), s.Revision)
 	s.InForce = summary.InForce
 	s.Of = summary.Of
 	s.Missing = summary.Behind
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -8,11 +8,13 @@
 	"net/http/httptest"
 	"net/netip"
 	"testing"
+	"time"
 
 	"greengagedyke/control"
 	"greengagedyke/member"
 	"greengagedyke/platform"
 	"greengagedyke/service"
+	"greengagedyke/timeline"
 )
 
 // memory is a Store that keeps one configuration.
@@ -46,11 +48,14 @@
 func newAPI(t *testing.T, m *memory) func(token string) *Client {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
-	node := control.NewNode(log, member.Record{Role: member.RoleBalancer, Identity: "balancer-1", State: member.StateReady})
+	node := control.NewNode(log, member.Record{Role: member.RoleBalancer, Identity: "balancer-1", State: member.StateReady}, timeline.NewRing("balancer-1", timeline.NewClock(time.Now)))
 	where := func(context.Context, uint64) control.Summary {
 		return control.Summary{InForce: 1, Of: 2, Behind: []string{"sidecar-1"}}
 	}
-	server := httptest.NewServer(New(log, m, node, where, "right"))
+	events := func(_ context.Context, f timeline.Filter) (timeline.Events, []string, error) {
+		return timeline.Events{{Kind: f.Kind, Request: f.Request, Process: "sidecar-1"}}, []string{"sidecar-2"}, nil
+	}
+	server := httptest.NewServer(New(log, m, node, Questions{Where: where, Events: events}, "right"))
 	t.Cleanup(server.Close)
 	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
 	return func(token string) *Client { return NewClient(addr, token, http.DefaultTransport) }
@@ -80,6 +85,14 @@
 	}
 }
 
+func TestTimeline(t *testing.T) {
+	client := newAPI(t, &memory{})
+	got, err := client("right").Timeline(t.Context(), timeline.Filter{Request: "key-1", Kind: timeline.KindRequest})
+	if err != nil || len(got.Events) != 1 || got.Events[0].Request != "key-1" || got.Events[0].Kind != timeline.KindRequest || len(got.Silent) != 1 {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	m := &memory{}
 	client := newAPI(t, m)
--- a/sibling/server.go
+++ b/sibling/server.go
@@ -43,6 +43,11 @@
 	Report(identity string, l work.Load)
 }
 
+// Events answers questions about the time line.
+type Events interface {
+	Answer(filter []byte) ([]byte, error)
+}
+
 // Server answers siblings.
 type Server struct {
 	log      *slog.Logger
@@ -53,11 +58,12 @@
 	slots      Slots
 	upstream   Upstream
 	holder     Holder
+	events     Events
 	foreign    metrics.Counter
 }
 
 // NewServer returns a server for the sidecar that target describes.
-func NewServer(log *slog.Logger, identity, holderName string, target Target, slots Slots, upstream Upstream, holder Holder, r metrics.Registry) *Server {
+func NewServer(log *slog.Logger, identity, holderName string, target Target, slots Slots, upstream Upstream, holder Holder, events Events, r metrics.Registry) *Server {
 	return &Server{
 		log:        log,
 		identity:   identity,
@@ -66,6 +72,7 @@
 		slots:      slots,
 		upstream:   upstream,
 		holder:     holder,
+		events:     events,
 		foreign:    metrics.NewRegisteredCounter("sibling.refused.wrong-target", r),
 	}
 }
@@ -88,6 +95,8 @@
 		v.answer(s, &ClaimAnswer{})
 	case c.Handover != nil:
 		v.handover(s, c.Handover)
+	case len(c.Timeline) > 0:
+		v.timeline(s, c.Timeline)
 	case c.Load != nil:
 		v.holder.Report(c.Load.Identity, loadFrom(c.Load))
 		v.answer(s, loadTo(v.identity, v.slots.Load()))
@@ -245,6 +254,15 @@
 	v.answer(s, &ClaimAnswer{RequestId: held.RequestID, Holder: held.Holder, State: state.String()})
 }
 
+func (v *Server) timeline(s *session.Stream, filter []byte) {
+	events, err := v.events.Answer(filter)
+	if err != nil {
+		v.log.Warn("timeline-filter-refused", "error", err.Error())
+		return
+	}
+	v.answer(s, &TimelineAnswer{Events: events})
+}
+
 func (v *Server) handover(s *session.Stream, h *Handover) {
 	taken := true
 	for _, m := range h.Kept {
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -11,6 +11,7 @@
 
 	"greengagedyke/service"
 	"greengagedyke/sibling"
+	"greengagedyke/timeline"
 	"greengagedyke/upstream"
 	"greengagedyke/work"
 )
@@ -27,6 +28,7 @@
 	slots    *upstream.Slots
 	upstream *upstream.Client
 	holdings *Holdings
+	ring     *timeline.Ring
 	baseline Baseline
 	leaving  func() bool
 	// queueBids is the number of requests that wait in siblings' queues, by priority.
--- a/sidecar/keyed.go
+++ b/sidecar/keyed.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
 	"greengagedyke/sibling"
+	"greengagedyke/timeline"
 	"greengagedyke/upstream"
 	"greengagedyke/work"
 )
@@ -119,6 +121,7 @@
 	kept := &answerKeeper{Sink: sink}
 	outcome := d.settleKey(ctx, r, kept)
 	d.holdings.end(r.ID, outcome, kept.answer(outcome))
+	d.ring.Add(timeline.Event{Kind: timeline.KindRequest, Request: r.Key, Upstream: kept.upstream, Detail: outcome.String()})
 	if outcome.Verdict == work.VerdictNotRun {
 		d.unclaim(r)
 	}
@@ -280,9 +283,17 @@
 // answerKeeper passes an answer on and keeps a copy.
 type answerKeeper struct {
 	work.Sink
-	head work.Head
-	body []byte
-	over bool
+	// upstream is the sidecar that was last told to run the request.
+	upstream string
+	head     work.Head
+	body     []byte
+	over     bool
+}
+
+// Receipt implements work.Sink.
+func (k *answerKeeper) Receipt(r work.Receipt) {
+	k.upstream, _, _ = strings.Cut(r.Identity, "@")
+	k.Sink.Receipt(r)
 }
 
 // Head implements work.Sink.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"greengagedyke/service"
 	"greengagedyke/session"
 	"greengagedyke/sibling"
+	"greengagedyke/timeline"
 	"greengagedyke/tunnel"
 	"greengagedyke/upstream"
 )
@@ -52,6 +53,7 @@
 	front       *caller.Front
 	ids         *connectionIDs
 	leaving     atomic.Bool
+	ring        *timeline.Ring
 	// applied is the configuration whose keys are in use.
 	applied *service.Configuration
 }
@@ -78,7 +80,8 @@
 	defer ln.Close()
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	s.node = control.NewNode(s.log, s.record())
+	s.ring = timeline.NewRing(s.cfg.Identity, timeline.NewClock(time.Now))
+	s.node = control.NewNode(s.log, s.record(), s.ring)
 	s.announcer = control.NewAnnouncer(s.log, s.node, s.credentials, s.cfg.Balancers)
 	stopAnnouncer := waitFor(life, end, s.announcer.Run)
 	defer stopAnnouncer()
@@ -213,6 +216,7 @@
 		siblings: s.siblings,
 		slots:    s.slots,
 		upstream: s.upstream,
+		ring:     s.ring,
 		holdings: newHoldings(s.upstream, s.siblings),
 		baseline: s.cfg.Baseline,
 		leaving:  s.leaving.Load,
@@ -228,7 +232,7 @@
 func (s *Sidecar) server() *sibling.Server {
 	self := s.node.Self()
 	target := sibling.Target{ServiceTag: service.Tag(self.Service), Incarnation: self.Incarnation}
-	return sibling.NewServer(s.log, self.Identity, s.dispatcher.holder, target, s.slots, s.upstream, s.dispatcher.holdings, s.registry)
+	return sibling.NewServer(s.log, self.Identity, s.dispatcher.holder, target, s.slots, s.upstream, s.dispatcher.holdings, s.ring, s.registry)
 }
 
 func (s *Sidecar) routes() service.Routes {
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -4,9 +4,12 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Kind is the kind of an event.
@@ -183,3 +186,12 @@
 	})
 	return all
 }
+
+// Answer returns the events that an encoded filter picks, encoded.
+func (r *Ring) Answer(filter []byte) ([]byte, error) {
+	var f Filter
+	if err := json.Unmarshal(filter, &f); err != nil {
+		return nil, errors.Wrap(err, "timeline.Ring.Answer")
+	}
+	return json.Marshal(r.Events(f))
+}
--- a/work/request.go
+++ b/work/request.go
@@ -122,6 +122,15 @@
 	RetryAfter time.Duration
 }
 
+// String returns the verdict and its reason.
+func (o Outcome) String() string {
+	names := [...]string{"none", "answered", "not run", "unknown", "cut"}
+	if o.Reason == "" {
+		return names[o.Verdict]
+	}
+	return names[o.Verdict] + ": " + o.Reason
+}
+
 // NotRun returns the outcome of a request that was not run.
 func NotRun(reason string, retryAfter time.Duration) Outcome {
 	return Outcome{Verdict: VerdictNotRun, Reason: reason, RetryAfter: retryAfter}
