Keep answers in one place, and read usage in one place

Cause: two types kept answers for repeats, with small differences, and three tests read heap and processor time in their own copies. Found: a large answer whose caller had gone away counted as answered although it was neither delivered nor kept. Change: work.Keeper serves both; such an answer counts as cut; standin/usage serves the benchmarks. Conclusion: behaviour as before but for the outcome above.

--- a/caller/front_test.go
+++ b/caller/front_test.go
@@ -10,9 +10,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
-	"runtime"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -23,6 +21,7 @@
 	"greengagedyke/quiclb"
 	"greengagedyke/service"
 	"greengagedyke/standin/certificate"
+	"greengagedyke/standin/usage"
 	"greengagedyke/work"
 )
 
@@ -187,7 +186,7 @@
 		}
 		return work.Outcome{Verdict: work.VerdictAnswered}
 	})
-	before, cpu := heap(), cpuTime()
+	before, cpu := usage.Heap(), usage.Processor()
 	for b.Loop() {
 		c := f.client(udp(b))
 		defer c.Close()
@@ -196,21 +195,6 @@
 		}
 	}
 	n := float64(b.N)
-	b.ReportMetric(float64(cpuTime()-cpu)/n, "cpu-ns/connection")
-	b.ReportMetric(float64(heap()-before)/n, "heap-B/connection")
-}
-
-func cpuTime() time.Duration {
-	var r syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
-		return 0
-	}
-	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
-}
-
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc + m.StackInuse
+	b.ReportMetric(float64(usage.Processor()-cpu)/n, "cpu-ns/connection")
+	b.ReportMetric(float64(usage.Heap()-before)/n, "heap-B/connection")
 }
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -6,14 +6,13 @@
 	"log/slog"
 	"net"
 	"net/netip"
-	"runtime"
-	"syscall"
 	"testing"
 	"time"
 
 	"greengagedyke/member"
 	"greengagedyke/service"
 	"greengagedyke/session"
+	"greengagedyke/standin/usage"
 	"greengagedyke/timeline"
 )
 
@@ -250,7 +249,7 @@
 // changes a record, and the choice of peers after a change.
 func BenchmarkDesignSize(b *testing.B) {
 	const balancers, sidecars, services = 550, 3200, 450
-	empty := heap()
+	empty := usage.Heap()
 	n := NewNode(slog.New(slog.DiscardHandler), record(0, member.RoleBalancer, ""), newRing())
 	for i := 1; i < balancers; i++ {
 		n.view.Merge(member.Observed{Record: record(i, member.RoleBalancer, "")}, time.Now())
@@ -262,7 +261,7 @@
 	from := record(1, member.RoleBalancer, "")
 	c := n.confirm(&Announcement{Self: memberTo(&member.Observed{Record: from})})
 	quiet := &Announcement{Self: brief(&from), Epoch: c.Epoch, Version: c.Version, Revision: 1, Digest: c.Digest}
-	held := heap() - empty
+	held := usage.Heap() - empty
 	b.Run("confirm-quiet", func(b *testing.B) {
 		for b.Loop() {
 			n.confirm(quiet)
@@ -305,12 +304,12 @@
 	const window = 6 * time.Second
 	const changes = 10
 	time.Sleep(2 * time.Second)
-	bytes, cpu := f.traffic(), cpuTime()
+	bytes, cpu := f.traffic(), usage.Processor()
 	time.Sleep(window)
 	n := float64(len(f.balancers))
 	all := n + float64(len(f.sidecars))
 	idle := float64(f.traffic()-bytes) / n / window.Seconds()
-	idleCPU := (cpuTime() - cpu).Seconds() / all / window.Seconds()
+	idleCPU := (usage.Processor() - cpu).Seconds() / all / window.Seconds()
 	bytes = f.traffic()
 	began := time.Now()
 	var slowest time.Duration
@@ -324,7 +323,7 @@
 	b.ReportMetric(100*idleCPU, "idle-%core/process")
 	b.ReportMetric(extra/changes, "B/change/balancer")
 	b.ReportMetric(slowest.Seconds(), "in-force-s")
-	b.ReportMetric(float64(heap())/all, "heap-B/process")
+	b.ReportMetric(float64(usage.Heap())/all, "heap-B/process")
 }
 
 // traffic is the bytes sent and received by all balancers.
@@ -336,18 +335,3 @@
 	}
 	return sum
 }
-
-func cpuTime() time.Duration {
-	var r syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
-		return 0
-	}
-	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
-}
-
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc + m.StackInuse
-}
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -6,13 +6,13 @@
 	"log/slog"
 	"net"
 	"net/netip"
-	"runtime"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"greengagedyke/standin/proxy"
+	"greengagedyke/standin/usage"
 )
 
 func credentials(t testing.TB, secret string) *Credentials {
@@ -126,7 +126,7 @@
 func BenchmarkSession(b *testing.B) {
 	c := credentials(b, ownSecret)
 	addr := echo(b, c)
-	before := heap()
+	before := usage.Heap()
 	for b.Loop() {
 		peer, closePeer := NewPeer(addr, c)
 		defer closePeer()
@@ -134,12 +134,5 @@
 			b.Fatal(err)
 		}
 	}
-	b.ReportMetric(float64(heap()-before)/float64(b.N), "heap-B/session")
-}
-
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc + m.StackInuse
+	b.ReportMetric(float64(usage.Heap()-before)/float64(b.N), "heap-B/session")
 }
--- a/sidecar/keyed.go
+++ b/sidecar/keyed.go
@@ -69,6 +69,9 @@
 	case work.VerdictNotRun:
 		state = work.StateNotRun
 	}
+	if state != work.StateAnswered {
+		answer = nil
+	}
 	h.ledger.End(time.Now(), id, state, answer)
 }
 
@@ -118,10 +121,11 @@
 	if err := d.holdings.begin(r.ID); err != nil {
 		return work.NotRun(work.ReasonOverload, time.Second)
 	}
-	kept := &answerKeeper{Sink: sink}
+	kept := &work.Keeper{Sink: sink}
 	outcome := d.settleKey(ctx, r, kept)
-	d.holdings.end(r.ID, outcome, kept.answer(outcome))
-	d.ring.Add(timeline.Event{Kind: timeline.KindRequest, Request: r.Key, Upstream: kept.upstream, Detail: outcome.String()})
+	d.holdings.end(r.ID, outcome, kept.Kept())
+	upstream, _, _ := strings.Cut(kept.Receipted.Identity, "@")
+	d.ring.Add(timeline.Event{Kind: timeline.KindRequest, Request: r.Key, Upstream: upstream, Detail: outcome.String()})
 	if outcome.Verdict == work.VerdictNotRun {
 		d.unclaim(r)
 	}
@@ -279,44 +283,3 @@
 		}()
 	}
 }
-
-// answerKeeper passes an answer on and keeps a copy.
-type answerKeeper struct {
-	work.Sink
-	// upstream is the sidecar that was last told to run the request.
-	upstream string
-	head     work.Head
-	body     []byte
-	over     bool
-}
-
-// Receipt implements work.Sink.
-func (k *answerKeeper) Receipt(r work.Receipt) {
-	k.upstream, _, _ = strings.Cut(r.Identity, "@")
-	k.Sink.Receipt(r)
-}
-
-// Head implements work.Sink.
-func (k *answerKeeper) Head(h work.Head) error {
-	k.head = h
-	return k.Sink.Head(h)
-}
-
-// Chunk implements work.Sink.
-func (k *answerKeeper) Chunk(p []byte) error {
-	if len(k.body)+len(p) > work.MaxKeptAnswer {
-		k.over = true
-		k.body = nil
-	}
-	if !k.over {
-		k.body = append(k.body, p...)
-	}
-	return k.Sink.Chunk(p)
-}
-
-func (k *answerKeeper) answer(o work.Outcome) *work.Answer {
-	if o.Verdict != work.VerdictAnswered || k.over {
-		return nil
-	}
-	return &work.Answer{Head: k.head, Body: k.body}
-}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -77,7 +77,7 @@
 	if err := c.begin(r); err != nil {
 		return work.NotRun(work.ReasonMarked, 0)
 	}
-	kept := &keeper{sink: sink, keep: r.Route.Class == service.ClassNonIdempotent}
+	kept := &keeper{Keeper: work.Keeper{Sink: sink}, keep: r.Route.Class == service.ClassNonIdempotent}
 	ctx, cancel := c.runContext(ctx, r)
 	defer cancel()
 	defer c.slots.Release(r.SlotID)
@@ -118,7 +118,9 @@
 	switch o.Verdict {
 	case work.VerdictAnswered:
 		state = work.StateAnswered
-		answer = kept.answer()
+		if kept.keep {
+			answer = kept.Kept()
+		}
 	case work.VerdictNotRun:
 		state = work.StateNotRun
 	}
@@ -223,36 +225,39 @@
 		return c.cut(ctx)
 	}
 	c.slots.Finish(r.SlotID)
-	sink.head = head
-	sink.store(body)
-	if err := sink.sink.Head(head); err != nil {
+	sink.KeepHead(head)
+	sink.Keep(body)
+	if err := sink.Sink.Head(head); err != nil {
 		return sink.undelivered()
 	}
-	if err := sink.sink.Chunk(body); err != nil {
+	if err := sink.Sink.Chunk(body); err != nil {
 		return sink.undelivered()
 	}
 	return work.Outcome{Verdict: work.VerdictAnswered}
 }
 
 func (c *Client) copyLarge(ctx context.Context, r *work.Request, response *http.Response, head work.Head, sink *keeper) work.Outcome {
-	sinkErr := sink.Head(head)
+	sink.KeepHead(head)
+	sinkErr := sink.Sink.Head(head)
 	buf := make([]byte, chunkSize)
 	for {
 		n, err := response.Body.Read(buf)
-		if n > 0 && sinkErr == nil {
-			sinkErr = sink.Chunk(buf[:n])
+		if sink.keep {
+			sink.Keep(buf[:n])
 		}
-		if n > 0 && sinkErr != nil {
-			sink.store(buf[:n])
+		if n > 0 && sinkErr == nil {
+			sinkErr = sink.Sink.Chunk(buf[:n])
 		}
-		if err == io.EOF {
+		switch {
+		case err == io.EOF && sinkErr != nil:
+			c.slots.Finish(r.SlotID)
+			return sink.undelivered()
+		case err == io.EOF:
 			c.slots.Finish(r.SlotID)
 			return work.Outcome{Verdict: work.VerdictAnswered}
-		}
-		if err != nil {
+		case err != nil:
 			return c.cut(ctx)
-		}
-		if sinkErr != nil && !sink.keep {
+		case sinkErr != nil && !sink.keep:
 			return work.Outcome{Verdict: work.VerdictCut, Reason: work.ReasonCanceled}
 		}
 	}
@@ -278,54 +283,17 @@
 	c.health.Observe(time.Now(), ok)
 }
 
-// keeper passes an answer on and keeps a copy for repeats of the request.
+// keeper keeps the answers of non-idempotent requests for repeats.
 type keeper struct {
-	sink work.Sink
+	work.Keeper
 	keep bool
-	head work.Head
-	body []byte
-	over bool
-}
-
-func (k *keeper) Receipt(r work.Receipt) { k.sink.Receipt(r) }
-
-func (k *keeper) Head(h work.Head) error {
-	k.head = h
-	return k.sink.Head(h)
-}
-
-func (k *keeper) Chunk(p []byte) error {
-	if err := k.sink.Chunk(p); err != nil {
-		return err
-	}
-	k.store(p)
-	return nil
 }
 
-func (k *keeper) store(p []byte) {
-	if !k.keep || k.over {
-		return
-	}
-	if len(k.body)+len(p) > work.MaxKeptAnswer {
-		k.over = true
-		k.body = nil
-		return
-	}
-	k.body = append(k.body, p...)
-}
-
-// undelivered is the outcome of an answer that the sink refused: a kept one can
-// still be fetched.
+// undelivered is the outcome of a whole answer that the sink refused: one that is
+// kept can still be fetched.
 func (k *keeper) undelivered() work.Outcome {
-	if k.keep && !k.over {
+	if k.keep && k.Kept() != nil {
 		return work.Outcome{Verdict: work.VerdictAnswered}
 	}
 	return work.Outcome{Verdict: work.VerdictCut, Reason: work.ReasonCanceled}
 }
-
-func (k *keeper) answer() *work.Answer {
-	if !k.keep || k.over {
-		return nil
-	}
-	return &work.Answer{Head: k.head, Body: k.body}
-}
