Compare, watch and race declarations

Cause: operators could apply and read declarations, but not see beforehand what would change, nor follow what was accepted. A script with real processes: a directory applies whole or not at all, two operators race, the store is down across a join.

--- a/cmd/greengagedyke/main.go
+++ b/cmd/greengagedyke/main.go
@@ -42,6 +42,8 @@
 		{"check", checkShort, checkUsage, &checkCommand{}},
 		{"apply", applyShort, applyUsage, &applyCommand{}},
 		{"get", getShort, getUsage, &getCommand{}},
+		{"diff", diffShort, diffUsage, &diffCommand{}},
+		{"watch", watchShort, watchUsage, &watchCommand{}},
 		{"status", statusShort, statusUsage, &statusCommand{}},
 		{"timeline", timelineShort, timelineUsage, &timelineCommand{}},
 		{"demo", demoShort, demoUsage, &demoCommand{}},
--- /dev/null
+++ b/cmd/greengagedyke/watch.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"greengagedyke/operator"
+	"greengagedyke/service"
+)
+
+const (
+	watchShort = "Print each change of the declarations as it is accepted"
+	watchUsage = `Prints what changed with each revision, beginning after a revision, until it is
+interrupted or has printed enough changes. The first one lists everything that is
+declared, since what was seen before is not known.`
+)
+
+type watchCommand struct {
+	apiOptions
+	After uint64 `long:"after" description:"last revision that was seen"`
+	Count int    `long:"count" description:"end after this many changes"`
+}
+
+// Execute implements flags.Commander.
+func (c *watchCommand) Execute([]string) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	seen := &service.Configuration{Revision: c.After}
+	for n := 0; c.Count == 0 || n < c.Count; {
+		cfg, err := client.Watch(context.Background(), seen.Revision)
+		if errors.Is(err, operator.ErrUnchanged) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		fmt.Printf("revision %d\n", cfg.Revision)
+		printDelta(service.Diff(seen, cfg))
+		seen = cfg
+		n++
+	}
+	return nil
+}
+
+func printDelta(d service.Delta) {
+	for _, s := range d.Put {
+		fmt.Printf("  put service/%s\n", s.Name)
+	}
+	for _, name := range d.Deleted {
+		fmt.Printf("  delete service/%s\n", name)
+	}
+}
--- a/operator/api.go
+++ b/operator/api.go
@@ -36,6 +36,8 @@
 	Members() []member.Observed
 	Self() member.Record
 	Adopt(cfg *service.Configuration) bool
+	// Changed is closed at the next change of anything that the node knows.
+	Changed() <-chan struct{}
 }
 
 // Questions are put to all processes.
@@ -61,6 +63,7 @@
 	a := &API{log: log, store: store, node: node, ask: ask, token: token, mux: http.NewServeMux()}
 	a.mux.HandleFunc("PUT /v1/configuration", a.apply)
 	a.mux.HandleFunc("GET /v1/configuration", a.get)
+	a.mux.HandleFunc("GET /v1/watch", a.watch)
 	a.mux.HandleFunc("GET /v1/status", a.status)
 	a.mux.HandleFunc("GET /v1/timeline", a.timeline)
 	return a
