Free the slot of a refused run; remember only what may run once

Cause: read as a newcomer, the runs of requests showed that one refused by the ledger kept its slot for good; that every idempotent request was remembered for 10 minutes, so that 110 a second would fill the ledger and refuse all work; that a farewell could be missed while another exchange was under way; and that an answer was lost when its caller went away. Change: the slot is freed first; only non-idempotent requests are remembered; announcements of leaving are repeated until confirmed; the outcome of a swap is waited for and kept when its caller goes away; when a key's home does not answer, the others are asked.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -37,6 +37,7 @@
 	cfg       *Settings
 	log       *slog.Logger
 	node      *control.Node
+	announcer *control.Announcer
 	forwarder *fabric.Forwarder
 	keys      keys.Set
 	applied   *service.Configuration
@@ -75,6 +76,7 @@
 	b.forwarder = forwarder
 	ring := timeline.NewRing(b.cfg.Identity, timeline.NewClock(time.Now))
 	b.node = control.NewNode(b.log, b.record(), ring)
+	b.announcer = control.NewAnnouncer(b.log, b.node, credentials, b.cfg.Peers)
 	sessions, err := net.Listen("tcp4", b.cfg.Control.String())
 	if err != nil {
 		return err
@@ -94,7 +96,7 @@
 		func(ctx context.Context) {
 			b.serveAPI(ctx, api, operator.New(b.log, store, b.node, b.questions(credentials), b.cfg.APIToken))
 		},
-		b.announce(credentials),
+		b.announce,
 		b.follow,
 	)()
 	b.log.Info("balancer-started", "tunnel", forwarder.LocalAddr().String())
@@ -134,12 +136,9 @@
 	}
 }
 
-func (b *Balancer) announce(credentials *session.Credentials) func(context.Context) {
-	announcer := control.NewAnnouncer(b.log, b.node, credentials, b.cfg.Peers)
-	return func(ctx context.Context) {
-		done := make(chan struct{})
-		announcer.Run(ctx, done)
-	}
+func (b *Balancer) announce(ctx context.Context) {
+	done := make(chan struct{})
+	b.announcer.Run(ctx, done)
 }
 
 // questions are what operators ask all processes.
@@ -163,6 +162,7 @@
 	b.node.UpdateSelf(func(r *member.Record) { r.State = member.StateLeaving })
 	pause(abort, leaveNotice)
 	b.node.UpdateSelf(func(r *member.Record) { r.State = member.StateGone })
+	b.announcer.Announce()
 }
 
 func (b *Balancer) serveAPI(ctx context.Context, ln net.Listener, h http.Handler) {
--- a/control/announcer.go
+++ b/control/announcer.go
@@ -85,7 +85,7 @@
 	defer t.Stop()
 	var wg sync.WaitGroup
 	for {
-		a.round(&wg, false)
+		a.round(&wg)
 		select {
 		case <-ctx.Done():
 			wg.Wait()
@@ -96,21 +96,42 @@
 	}
 }
 
-// Announce tells all balancers at once and waits for their answers.
+// announceTries bounds the attempts of Announce, which are a tick apart.
+const announceTries = 10
+
+// Announce returns when all balancers have confirmed what there is to announce now,
+// or cannot be reached.
 func (a *Announcer) Announce() {
-	var wg sync.WaitGroup
-	a.round(&wg, true)
-	wg.Wait()
+	for range announceTries {
+		var wg sync.WaitGroup
+		a.round(&wg)
+		wg.Wait()
+		if a.isConfirmed(a.node.progress()) {
+			return
+		}
+		time.Sleep(tick)
+	}
+}
+
+func (a *Announcer) isConfirmed(now progress) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range a.peers {
+		if p.wanted && (p.busy || p.sent.sequence < now.sequence) {
+			return false
+		}
+	}
+	return true
 }
 
-func (a *Announcer) round(wg *sync.WaitGroup, all bool) {
+func (a *Announcer) round(wg *sync.WaitGroup) {
 	a.updatePeers()
 	now := a.node.progress()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for addr, p := range a.peers {
 		due := time.Since(p.last) >= p.interval || p.sent != now || !p.wanted
-		if p.busy || !due && !all {
+		if p.busy || !due {
 			continue
 		}
 		p.busy = true
--- a/demo/failures_test.go
+++ b/demo/failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -214,3 +215,25 @@
 		t.Error("no caller tried a datagram that does not fit: the test shows nothing")
 	}
 }
+
+// Callers give up while their swap runs and repeat it on new connections, with and
+// without saying so: it runs once, and they get its answer.
+func TestImpatientCallers(t *testing.T) {
+	for _, blind := range []bool{false, true} {
+		t.Run(fmt.Sprintf("blind=%v", blind), func(t *testing.T) {
+			t.Parallel()
+			spec := testSpec(3)
+			spec.Upstream.Swap = 80 * time.Millisecond
+			o := &spec.Services[0].Load
+			o.Feeds = 0
+			o.Rates = map[load.Kind]float64{load.KindSwap: 20}
+			o.GiveUp = 40 * time.Millisecond
+			o.Blind = blind
+			s := newTestSite(t, spec)
+			result := runFor(t, s, 3*time.Second, func(context.Context) {})
+			if c := result.Counts[load.KindSwap]; c.Answered != c.Sent {
+				t.Errorf("not all were answered: %+v", *c)
+			}
+		})
+	}
+}
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -117,7 +117,7 @@
 		if r.Route.Class == service.ClassNonIdempotent {
 			guard.Receipt(work.Receipt{Identity: s.holder, RequestID: r.ID})
 		}
-		outcome = s.run(ctx, r, guard)
+		outcome = d.runPlaced(ctx, s, r, guard)
 		if !d.mayRetry(waitCtx, r, guard, outcome) || !d.takeRetry() {
 			return outcome
 		}
@@ -126,6 +126,20 @@
 	return outcome
 }
 
+// answerGrace is how long after its deadline the outcome of a request may arrive.
+const answerGrace = 500 * time.Millisecond
+
+// runPlaced runs a request in its slot. The outcome of a non-idempotent one is waited
+// for even if its caller goes away, for the caller's repeat.
+func (*Dispatcher) runPlaced(ctx context.Context, s *slot, r *work.Request, sink work.Sink) work.Outcome {
+	if r.Route.Class != service.ClassNonIdempotent || r.Deadline.IsZero() {
+		return s.run(ctx, r, sink)
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline.Add(answerGrace))
+	defer cancel()
+	return s.run(ctx, r, sink)
+}
+
 func (d *Dispatcher) noteRequest() {
 	d.retryMu.Lock()
 	defer d.retryMu.Unlock()
--- a/sidecar/keyed.go
+++ b/sidecar/keyed.go
@@ -121,7 +121,7 @@
 	if err := d.holdings.begin(r.ID); err != nil {
 		return work.NotRun(work.ReasonOverload, time.Second)
 	}
-	kept := &work.Keeper{Sink: sink}
+	kept := &work.Keeper{Sink: sink, Detached: true}
 	outcome := d.settleKey(ctx, r, kept)
 	d.holdings.end(r.ID, outcome, kept.Kept())
 	upstream, _, _ := strings.Cut(kept.Receipted.Identity, "@")
@@ -210,6 +210,24 @@
 	if !r.Repeat && !d.lost() {
 		asked = d.siblings.homes(r.Key)
 	}
+	held, state, _ := d.holdings.Claim(r.Key, mine, over)
+	found := claimed{}
+	found.add(mine, claimAnswer{holder: d.holder, held: held, state: state}, r.Repeat)
+	if failed := d.askClaims(ctx, asked, r, mine, over, &found); failed && len(asked) < len(clients) {
+		// A home that cannot be asked may know of the key; whoever ran it does too.
+		for identity := range asked {
+			delete(clients, identity)
+		}
+		d.askClaims(ctx, clients, r, mine, over, &found)
+	}
+	if r.Repeat && !d.receiptKnown(r) {
+		found.unknown = true
+	}
+	return found
+}
+
+// askClaims puts a claim to members at once, and reports whether one did not answer.
+func (d *Dispatcher) askClaims(ctx context.Context, asked map[string]*sibling.Client, r *work.Request, mine work.Holding, over string, found *claimed) bool {
 	if !r.Repeat {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, claimTimeout)
@@ -220,16 +238,13 @@
 		holder := d.siblings.holderOf(identity)
 		go func() { answers <- askClaim(ctx, holder, c, r.Key, mine, over) }()
 	}
-	held, state, _ := d.holdings.Claim(r.Key, mine, over)
-	found := claimed{}
-	found.add(mine, claimAnswer{holder: d.holder, held: held, state: state}, r.Repeat)
+	failed := false
 	for range asked {
-		found.add(mine, <-answers, r.Repeat)
+		a := <-answers
+		failed = failed || a.err != nil
+		found.add(mine, a, r.Repeat)
 	}
-	if r.Repeat && !d.receiptKnown(r) {
-		found.unknown = true
-	}
-	return found
+	return failed
 }
 
 // receiptKnown reports whether the process that the caller's receipt names can be
--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -131,13 +131,21 @@
 	if k == KindSwap {
 		key = id
 	}
-	t := l.attempt(c, k, id, key, "")
+	wait := l.Deadlines[k] + answerGrace
+	first := wait
+	if key != "" && l.GiveUp > 0 {
+		first = l.GiveUp
+	}
+	t := l.attempt(c, k, id, key, "", first)
 	for n := 0; key != "" && (t.outcome == outcomeLost || t.outcome == outcomeCut) && n < l.Repeats; n++ {
 		receipt := t.receipt
 		if receipt == "" {
 			receipt = "none"
 		}
-		t = l.attempt(c, k, id, key, receipt)
+		if l.Blind {
+			receipt = ""
+		}
+		t = l.attempt(c, k, id, key, receipt, wait)
 		if t.receipt == "" {
 			t.receipt = receipt
 		}
@@ -145,9 +153,9 @@
 	l.recorder.ended(k, key, t, since, time.Since(began), l.Deadlines[k])
 }
 
-func (l *Load) attempt(c *connection, k Kind, id, key, receipt string) tried {
+func (l *Load) attempt(c *connection, k Kind, id, key, receipt string, wait time.Duration) tried {
 	deadline := l.Deadlines[k]
-	ctx, cancel := context.WithTimeout(context.Background(), deadline+answerGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	var t tried
 	var mu sync.Mutex
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -31,6 +31,11 @@
 	Deadlines map[Kind]time.Duration `json:"deadlines"`
 	// Repeats is how often a caller repeats a swap that it has no outcome of.
 	Repeats int `json:"repeats"`
+	// GiveUp makes callers abandon the first attempt of a swap after this time and
+	// repeat it; zero if they wait.
+	GiveUp time.Duration `json:"give-up"`
+	// Blind makes repeats look like first attempts.
+	Blind bool `json:"blind"`
 	// Seed makes arrivals the same in every run.
 	Seed uint64 `json:"seed"`
 	// Roots are the certificates that callers trust.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -74,18 +74,28 @@
 // Run runs a request whose slot has been started, and streams the answer into sink.
 // The slot is free again as soon as the upstream is done.
 func (c *Client) Run(ctx context.Context, r *work.Request, sink work.Sink) work.Outcome {
-	if err := c.begin(r); err != nil {
-		return work.NotRun(work.ReasonMarked, 0)
-	}
-	kept := &keeper{Keeper: work.Keeper{Sink: sink}, keep: r.Route.Class == service.ClassNonIdempotent}
+	defer c.slots.Release(r.SlotID)
 	ctx, cancel := c.runContext(ctx, r)
 	defer cancel()
-	defer c.slots.Release(r.SlotID)
+	kept := &keeper{Keeper: work.Keeper{Sink: sink}, keep: r.Route.Class == service.ClassNonIdempotent}
+	if !kept.keep {
+		return c.roundTrip(ctx, r, kept)
+	}
+	if err := c.begin(r); err != nil {
+		return work.NotRun(refusal(err), 0)
+	}
 	outcome := c.roundTrip(ctx, r, kept)
 	c.end(r.ID, outcome, kept)
 	return outcome
 }
 
+func refusal(err error) string {
+	if errors.Is(err, work.ErrLedgerFull) {
+		return work.ReasonOverload
+	}
+	return work.ReasonMarked
+}
+
 // A non-idempotent request that has started runs on when its caller goes away,
 // so that a repeat finds the answer.
 func (*Client) runContext(ctx context.Context, r *work.Request) (context.Context, context.CancelFunc) {
@@ -98,10 +108,8 @@
 	return context.WithDeadline(ctx, r.Deadline.Add(answerGrace))
 }
 
+// begin notes in the ledger that a non-idempotent request runs.
 func (c *Client) begin(r *work.Request) error {
-	if r.Route.Class == service.ClassFlow {
-		return nil
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.ledger.Begin(time.Now(), r.Key, r.ID)
@@ -110,17 +118,12 @@
 func (c *Client) end(id string, o work.Outcome, kept *keeper) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ledger.Done(id) == nil {
-		return
-	}
 	state := work.StateUnknown
 	var answer *work.Answer
 	switch o.Verdict {
 	case work.VerdictAnswered:
 		state = work.StateAnswered
-		if kept.keep {
-			answer = kept.Kept()
-		}
+		answer = kept.Kept()
 	case work.VerdictNotRun:
 		state = work.StateNotRun
 	}
--- a/upstream/ledger.go
+++ b/upstream/ledger.go
@@ -71,25 +71,16 @@
 	return c.health.Healthy(time.Now())
 }
 
-const (
-	healthInterval = 500 * time.Millisecond
-	ledgerInterval = 5 * time.Second
-)
+const healthInterval = 500 * time.Millisecond
 
 // RunHealth asks the upstream's health endpoint until ctx ends, and then closes done.
 func (c *Client) RunHealth(ctx context.Context, path string, done chan<- struct{}) {
 	defer close(done)
 	t := time.NewTicker(healthInterval)
 	defer t.Stop()
-	expired := time.Now()
 	for {
 		c.checkHealth(ctx, path)
-		if now := time.Now(); now.Sub(expired) > ledgerInterval {
-			c.mu.Lock()
-			c.ledger.Expire(now)
-			c.mu.Unlock()
-			expired = now
-		}
+		c.expire()
 		select {
 		case <-ctx.Done():
 			return
@@ -98,6 +89,12 @@
 	}
 }
 
+func (c *Client) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Expire(time.Now())
+}
+
 func (c *Client) checkHealth(ctx context.Context, path string) {
 	ctx, cancel := context.WithTimeout(ctx, healthInterval)
 	defer cancel()
--- a/work/keeper.go
+++ b/work/keeper.go
@@ -3,6 +3,9 @@
 // Keeper passes an answer on and keeps a copy of it, if it is not too large.
 type Keeper struct {
 	Sink
+	// Detached makes a caller that goes away no reason to stop: the answer is kept
+	// for its repeat.
+	Detached bool
 	// Receipted is the receipt that was last passed on.
 	Receipted Receipt
 	answer    Answer
@@ -18,13 +21,20 @@
 // Head implements Sink.
 func (k *Keeper) Head(h Head) error {
 	k.KeepHead(h)
-	return k.Sink.Head(h)
+	return k.tolerate(k.Sink.Head(h))
 }
 
 // Chunk implements Sink.
 func (k *Keeper) Chunk(p []byte) error {
 	k.Keep(p)
-	return k.Sink.Chunk(p)
+	return k.tolerate(k.Sink.Chunk(p))
+}
+
+func (k *Keeper) tolerate(err error) error {
+	if k.Detached {
+		return nil
+	}
+	return err
 }
 
 // KeepHead keeps a head without passing it on.
--- a/work/ledger.go
+++ b/work/ledger.go
@@ -42,7 +42,9 @@
 	// keepRecord is how long a request is remembered after it ended.
 	keepRecord = 10 * time.Minute
 	// maxRecords bounds the requests that are remembered.
-	maxRecords = 1 << 16
+	maxRecords = 1 << 17
+	// expireInterval is the shortest time between looks for records to forget.
+	expireInterval = 5 * time.Second
 	// MaxKeptAnswer is the largest answer body in bytes that is kept for a repeat.
 	MaxKeptAnswer = 64 << 10
 	// maxKeptBytes bounds the bodies of all kept answers.
@@ -83,6 +85,7 @@
 	records map[string]*record
 	byKey   map[string]claim
 	kept    int
+	expired time.Time
 }
 
 // NewLedger returns an empty ledger.
@@ -223,8 +226,12 @@
 	return nil
 }
 
-// Expire forgets requests that ended long ago.
+// Expire forgets requests that ended long ago. It looks only now and then.
 func (l *Ledger) Expire(now time.Time) {
+	if now.Sub(l.expired) < expireInterval {
+		return
+	}
+	l.expired = now
 	for id, r := range l.records {
 		if r.state == StateRunning || now.Sub(r.ended) < keepRecord {
 			continue
