Start nothing on a leaving upstream

Ruled out: new offers, which were refused. Change: what waits is given back and goes to siblings; the demo counts work on the leaving upstream as a broken promise and no longer as goodput.

--- a/demo/failures_test.go
+++ b/demo/failures_test.go
@@ -95,13 +95,28 @@
 // answered by others.
 func TestDrainingSidecar(t *testing.T) {
 	t.Parallel()
-	s := newTestSite(t, testSpec(3))
+	spec := testSpec(3)
+	// More downloads than slots: all sidecars have work waiting for seconds.
+	spec.Upstream.Download = 400 * time.Millisecond
+	o := &spec.Services[0].Load
+	o.Rates[load.KindDownload] = 40
+	o.Deadlines = map[load.Kind]time.Duration{load.KindSwap: 5 * time.Second, load.KindShort: 5 * time.Second, load.KindDownload: 8 * time.Second}
+	s := newTestSite(t, spec)
 	var ended <-chan error
-	result := runFor(t, s, 4*time.Second, func(context.Context) {
-		time.Sleep(time.Second)
+	var left time.Duration
+	result := runFor(t, s, 6*time.Second, func(context.Context) {
+		time.Sleep(2 * time.Second)
 		ended = s.DrainSidecar("rota-core-1")
+		time.Sleep(3 * time.Second)
+		left = s.Upstreams["rota-core-1"].Audit().Work
 	})
+	if late := s.Upstreams["rota-core-1"].Audit().Work - left; late > 0 {
+		t.Errorf("the leaving upstream worked for %s more than 3 s after it began to leave", late)
+	}
 	for kind, c := range result.Counts {
+		if kind == load.KindDownload {
+			c.NotRun = 0 // there are more than can run
+		}
 		if c.Cut+c.Unknown+c.NotRun > 0 {
 			t.Errorf("%s: a planned stop cost requests: %+v", kind, *c)
 		}
--- a/demo/run.go
+++ b/demo/run.go
@@ -31,6 +31,8 @@
 	CrestGoodput float64 `json:"crest-goodput"`
 	// CrestBusy is the share of the slots' time at the crest in which they were held.
 	CrestBusy float64 `json:"crest-busy"`
+	// LeavingWork is the work that the leaving upstream did at the crest: none.
+	LeavingWork time.Duration `json:"leaving-work"`
 	// ShortP99 and ShortP99Long are the 99th percentiles of short reads without and
 	// with long downloads.
 	ShortP99     time.Duration `json:"short-p99"`
@@ -48,7 +50,7 @@
 // Broken reports whether a promise broke.
 func (rs Results) Broken() bool {
 	for _, r := range rs {
-		if r.Broken.Any() {
+		if r.Broken.Any() || r.LeavingWork > 0 {
 			return true
 		}
 	}
@@ -58,11 +60,11 @@
 // Print writes the results as a table.
 func (rs Results) Print(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(t, "DEPLOYMENT\tBROKEN FLOWS\tLOST\tRUN TWICE\tWRONG SERVICE\tFALSE NOT-RUN\tIMBALANCE\tCREST SERVICE\tCREST GOODPUT\tSHORT P99\tWITH LONG\tRATIO")
+	fmt.Fprintln(t, "DEPLOYMENT\tBROKEN FLOWS\tLOST\tRUN TWICE\tWRONG SERVICE\tFALSE NOT-RUN\tLEAVING WORK\tIMBALANCE\tCREST SERVICE\tCREST GOODPUT\tSHORT P99\tWITH LONG\tRATIO")
 	for _, name := range slices.Sorted(maps.Keys(rs)) {
 		r := rs[name]
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.1f%%\t%.1f%%\t%s\t%s\t%.2f\n",
-			name, r.Flows, r.Lost, r.RunTwice, r.WrongService, r.FalseNotRun,
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%s\t%.2f\t%.1f%%\t%.1f%%\t%s\t%s\t%.2f\n",
+			name, r.Flows, r.Lost, r.RunTwice, r.WrongService, r.FalseNotRun, r.LeavingWork,
 			r.Imbalance, 100*r.CrestService, 100*r.CrestGoodput, r.ShortP99, r.ShortP99Long, r.ShortRatio)
 	}
 	t.Flush()
@@ -227,11 +229,14 @@
 	p.say("%-10s  balancer-2 killed", p.Name)
 	p.StartBalancer(p.Balancers + 1)
 	p.say("%-10s  balancer-%d joined", p.Name, p.Balancers+1)
-	p.DrainSidecar(identity(p.Services[0].Name, 1))
-	p.say("%-10s  %s drains", p.Name, identity(p.Services[0].Name, 1))
+	p.DrainSidecar(p.leaving())
+	p.say("%-10s  %s drains", p.Name, p.leaving())
 	time.Sleep(failureScene - time.Since(began))
 }
 
+// leaving is the upstream that is drained.
+func (p *play) leaving() string { return identity(p.Services[0].Name, 1) }
+
 // crest raises the load to five times its base.
 func (p *play) crest(l *load.Load) {
 	p.say("%-10s  storm alert: %d times the load", p.Name, crestFactor)
@@ -275,7 +280,12 @@
 // taken to be as useful as the work that ended.
 func (p *play) crestShares(before, after map[string]upstream.Audit, elapsed time.Duration) {
 	var work, ended, useful time.Duration
+	leaving := p.leaving()
+	p.result.LeavingWork = after[leaving].Work - before[leaving].Work
 	for id, a := range after {
+		if id == leaving {
+			continue
+		}
 		work += a.Work - before[id].Work
 		ended += a.Ended - before[id].Ended
 		useful += a.Useful - before[id].Useful
--- a/upstream/slots.go
+++ b/upstream/slots.go
@@ -147,11 +147,13 @@
 	s.reducedAt = time.Now()
 }
 
-// SetLeaving refuses new entries.
+// SetLeaving refuses new entries and those that wait.
 func (s *Slots) SetLeaving() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.scheduler.SetLeaving()
+	for _, e := range s.scheduler.SetLeaving() {
+		s.tell(e.ID, work.ErrLeaving)
+	}
 }
 
 // Load describes the slots to siblings.
--- a/work/scheduler.go
+++ b/work/scheduler.go
@@ -112,8 +112,17 @@
 // Limit is the number of requests that may run at once.
 func (s *Scheduler) Limit() int { return s.limit }
 
-// SetLeaving refuses new entries; those accepted before still run.
-func (s *Scheduler) SetLeaving() { s.leaving = true }
+// SetLeaving refuses new entries and returns those that wait, which are not run
+// here. Only what holds a slot goes on.
+func (s *Scheduler) SetLeaving() []Entry {
+	s.leaving = true
+	var waiting []Entry
+	for _, q := range s.queue {
+		waiting = append(waiting, q.Entry)
+	}
+	s.queue = nil
+	return waiting
+}
 
 // Submit accepts an entry into the queue or says why it is not run.
 func (s *Scheduler) Submit(now time.Time, e Entry) error {
--- a/work/scheduler_test.go
+++ b/work/scheduler_test.go
@@ -168,6 +168,29 @@
 	}
 }
 
+// A leaving sidecar starts nothing that waits; what holds a slot goes on.
+func TestLeavingStartsNothing(t *testing.T) {
+	now := time.Unix(0, 0)
+	late := now.Add(time.Hour)
+	s := NewScheduler(1, now)
+	mustSubmit(t, s, now, entry("running", false, 0, late))
+	s.Next(now)
+	mustSubmit(t, s, now, entry("waiting", false, 0, late))
+	if got := s.SetLeaving(); len(got) != 1 || got[0].ID != "waiting" {
+		t.Errorf("refused %+v, want what waits", got)
+	}
+	if err := s.Submit(now, entry("new", false, 0, late)); !errors.Is(err, ErrLeaving) {
+		t.Errorf("got %v, want ErrLeaving", err)
+	}
+	if s.Idle() {
+		t.Error("the running request lost its slot")
+	}
+	s.Finish(now, "running")
+	if got := s.Next(now); len(got) != 0 || !s.Idle() {
+		t.Errorf("started %+v", got)
+	}
+}
+
 // A sidecar that was paused beyond a grant must not run the request.
 func TestPausedBeyondItsGrant(t *testing.T) {
 	now := time.Unix(0, 0)
