--- a/demo/deployments.go
+++ b/demo/deployments.go
@@ -39,7 +39,7 @@
 		Deadlines: map[load.Kind]time.Duration{
 			load.KindSwap:     2 * time.Second,
 			load.KindShort:    time.Second,
-			load.KindDownload: 8 * time.Second,
+			load.KindDownload: 4 * time.Second,
 		},
 		Repeats: repeats,
 		Seed:    uint64(seed),
--- a/service/configuration.go
+++ b/service/configuration.go
@@ -6,10 +6,6 @@
 	"github.com/pkg/errors"
 )
 
-// MaxConfigurationSize is the largest encoded configuration in bytes, the
-// platform's limit on one value.
-const MaxConfigurationSize = 1 << 20
-
 // Key is a secret shared by balancers and sidecars. Connection IDs and tunnel
 // datagrams are made with the first key and accepted under all of them.
 type Key struct {
--- a/service/table.go
+++ b/service/table.go
@@ -91,9 +91,6 @@
 	return &t.candidates[t.buckets[b]], true
 }
 
-// Len returns the number of candidates.
-func (t *Table) Len() int { return len(t.candidates) }
-
 // RendezvousScore is the score of a member for a key; the highest of all members wins.
 func RendezvousScore(identity, key string) uint64 {
 	return mix(xxhash.Sum64String(identity) ^ xxhash.Sum64String(key))
--- a/session/session.go
+++ b/session/session.go
@@ -257,9 +257,6 @@
 	}
 }
 
-// Addr is the peer's address.
-func (p *Peer) Addr() netip.AddrPort { return p.addr }
-
 // Open starts a call. The error is ErrUnreachable when the peer saw nothing of it.
 func (p *Peer) Open(ctx context.Context) (*Stream, error) {
 	for range 2 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
@@ -124,18 +123,3 @@
 func (s Secret) MarshalText() ([]byte, error) {
 	return []byte(hex.EncodeToString(s)), nil
 }
-
-// Duration is a time.Duration that is written as text such as "1.5s".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	*d = Duration(v)
-	return errors.Wrap(err, "settings.Duration")
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -19,18 +19,12 @@
 const (
 	// KindInForce: a configuration is in force in a process.
 	KindInForce Kind = "configuration-in-force"
-	// KindAccepted: a balancer accepted a configuration.
-	KindAccepted Kind = "configuration-accepted"
 	// KindMemberState: a process changed its state.
 	KindMemberState Kind = "member-state"
 	// KindMemberSilent: a balancer no longer hears a process.
 	KindMemberSilent Kind = "member-silent"
 	// KindRequest: the outcome of a non-idempotent request.
 	KindRequest Kind = "request"
-	// KindStart: a process started.
-	KindStart Kind = "process-started"
-	// KindEnd: a process ended.
-	KindEnd Kind = "process-ended"
 )
 
 // Stamp is a time of a hybrid logical clock: close to the wall clock, and later than
