Say once what the search for slots, the forwarder and the settings said twice

Cause: read over at the end: the bound on waiting offers and the test for a baseline stood two or three times each; both directions of the forwarder had the same loop; balancer and sidecar checked secrets and addresses in copies; each search for a slot built a map of all siblings only to count them. Change: one function for each, and a count. A settings file with several mistakes may now name another of them first. Conclusion: behaviour as before but for that order.

--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -8,8 +8,6 @@
 	"greengagedyke/settings"
 )
 
-const minSecretLen = 16
-
 // Settings describe one balancer.
 type Settings struct {
 	Identity      string          `json:"identity"`
@@ -44,25 +42,16 @@
 		return &settings.FieldError{Field: "identity", Problem: "must not be empty"}
 	case s.FailureDomain == "":
 		return &settings.FieldError{Field: "failure-domain", Problem: "must not be empty"}
-	case len(s.Secret) < minSecretLen:
-		return &settings.FieldError{Field: "secret", Problem: "must have at least 16 bytes"}
 	case s.APIToken == "":
 		return &settings.FieldError{Field: "api-token", Problem: "must not be empty"}
 	case s.ServiceIP.IsValid() && !s.ServiceIP.Is4():
 		return &settings.FieldError{Field: "service-ip", Problem: "must be an IPv4 address"}
 	}
-	for _, a := range []struct {
-		field string
-		addr  netip.AddrPort
-	}{
-		{"tunnel-address", s.Tunnel},
-		{"control-address", s.Control},
-		{"api-address", s.API},
-		{"store-address", s.Store},
-	} {
-		if !a.addr.IsValid() || !a.addr.Addr().Is4() {
-			return &settings.FieldError{Field: a.field, Problem: "must be an IPv4 address and a port"}
-		}
-	}
-	return nil
+	return settings.FirstError(
+		settings.CheckSecret("secret", s.Secret),
+		settings.CheckAddress("tunnel-address", s.Tunnel),
+		settings.CheckAddress("control-address", s.Control),
+		settings.CheckAddress("api-address", s.API),
+		settings.CheckAddress("store-address", s.Store),
+	)
 }
--- a/fabric/forwarder.go
+++ b/fabric/forwarder.go
@@ -226,19 +226,25 @@
 	b.addrs[n].Port = int(to.Port())
 }
 
-func (f *Forwarder) runInbound(ctx context.Context, d *door, b *batch) {
-	defer close(d.done)
+// run reads batches and handles them until the socket is closed or ctx ends.
+func (b *batch) run(ctx context.Context, handle func(n int)) {
 	for ctx.Err() == nil {
 		n, err := b.in.receive()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
-			continue
+		if err == nil {
+			handle(n)
 		}
+	}
+}
+
+func (f *Forwarder) runInbound(ctx context.Context, d *door, b *batch) {
+	defer close(d.done)
+	b.run(ctx, func(n int) {
 		m := f.inbound(d.binding.Load(), b, n)
 		f.send(f.tunnel, b, m)
-	}
+	})
 }
 
 func (f *Forwarder) inbound(binding *Binding, b *batch, n int) int {
@@ -284,16 +290,7 @@
 
 func (f *Forwarder) runOutbound(ctx context.Context, b *batch) {
 	defer close(f.done)
-	for ctx.Err() == nil {
-		n, err := b.in.receive()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		f.outbound(b, n)
-	}
+	b.run(ctx, func(n int) { f.outbound(b, n) })
 }
 
 // Datagrams of the same service that follow one another leave in one call.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"os"
 	"strings"
 
@@ -123,3 +124,32 @@
 func (s Secret) MarshalText() ([]byte, error) {
 	return []byte(hex.EncodeToString(s)), nil
 }
+
+// minSecretLen is the shortest accepted secret in bytes.
+const minSecretLen = 16
+
+// CheckSecret refuses a secret that is too short.
+func CheckSecret(field string, s Secret) error {
+	if len(s) < minSecretLen {
+		return &FieldError{Field: field, Problem: "must have at least 16 bytes"}
+	}
+	return nil
+}
+
+// CheckAddress refuses what is not an IPv4 address and a port.
+func CheckAddress(field string, a netip.AddrPort) error {
+	if !a.IsValid() || !a.Addr().Is4() {
+		return &FieldError{Field: field, Problem: "must be an IPv4 address and a port"}
+	}
+	return nil
+}
+
+// FirstError returns the first of the errors that is not nil.
+func FirstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/sidecar/acquire.go
+++ b/sidecar/acquire.go
@@ -57,7 +57,7 @@
 		Dispatcher: d,
 		request:    r,
 		tried:      maps.Clone(exclude),
-		bids:       make(chan bid, len(d.siblings.all())+2),
+		bids:       make(chan bid, d.siblings.count()+1),
 		queued:     make(chan struct{}, 1),
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -108,7 +108,7 @@
 }
 
 func (s *search) startAnother(ctx context.Context, place func(r *work.Request, tried map[string]bool) string) {
-	if s.open >= maxBids || s.baseline == BaselineLocal || s.baseline == BaselineRandom {
+	if s.open >= maxBids || s.hasFixedPlace() {
 		return
 	}
 	if identity := place(s.request, s.tried); identity != "" {
@@ -134,8 +134,8 @@
 }
 
 // firstPlaces returns where a request asks for a slot first: the best place with a
-// free slot, or when none is known, the own queue and the shortest other, whose
-// report may be old.
+// free slot, or when none is known, the own queue and the shortest others, whose
+// reports may be old.
 func (d *Dispatcher) firstPlaces(r *work.Request, tried map[string]bool) []string {
 	switch d.baseline {
 	case BaselineLocal:
@@ -152,7 +152,7 @@
 	}
 	exclude := maps.Clone(tried)
 	for range firstProbes {
-		if d.bidsUpTo(r.Route.Priority) >= queueBidsPerSlot*d.slotCount {
+		if !d.mayQueueElsewhere(r.Route.Priority) {
 			break
 		}
 		identity, ok := d.siblings.pickQueue(r.Route.Priority, false, exclude)
@@ -168,7 +168,7 @@
 // nextPlace returns a place for a request that waits nowhere: the own queue, then
 // the shortest other one.
 func (d *Dispatcher) nextPlace(r *work.Request, tried map[string]bool) string {
-	if d.baseline == BaselineLocal || d.baseline == BaselineRandom {
+	if d.hasFixedPlace() {
 		return ""
 	}
 	if !d.leaving() && !tried[d.identity] {
@@ -193,21 +193,27 @@
 	if !d.leaving() && !tried[d.identity] {
 		return d.identity
 	}
-	if d.bidsUpTo(r.Route.Priority) >= queueBidsPerSlot*d.slotCount {
+	if !d.mayQueueElsewhere(r.Route.Priority) {
 		return ""
 	}
 	identity, _ := d.siblings.pickQueue(r.Route.Priority, true, tried)
 	return identity
 }
 
-// bidsUpTo counts the waiting offers of this priority and those before it, so that
-// less urgent requests do not keep urgent ones from other queues.
-func (d *Dispatcher) bidsUpTo(priority int) int {
+// hasFixedPlace reports whether a baseline decides the place of a request once.
+func (d *Dispatcher) hasFixedPlace() bool {
+	return d.baseline == BaselineLocal || d.baseline == BaselineRandom
+}
+
+// mayQueueElsewhere reports whether one more request may wait in a sibling's queue.
+// Offers of this priority and those before it count, so that less urgent requests do
+// not keep urgent ones from other queues.
+func (d *Dispatcher) mayQueueElsewhere(priority int) bool {
 	n := 0
 	for i := range d.queueBids[:priority+1] {
 		n += int(d.queueBids[i].Load())
 	}
-	return n
+	return n < queueBidsPerSlot*d.slotCount
 }
 
 func (d *Dispatcher) bid(ctx context.Context, identity string, r *work.Request, queued chan<- struct{}) bid {
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -12,7 +12,6 @@
 	defaultHealthPath = "/health"
 	defaultHandshakes = 200
 	maxSlots          = 1024
-	minSecretLen      = 16
 )
 
 // Settings describe one sidecar.
@@ -76,8 +75,6 @@
 		return &settings.FieldError{Field: "identity", Problem: "must not be empty"}
 	case s.FailureDomain == "":
 		return &settings.FieldError{Field: "failure-domain", Problem: "must not be empty"}
-	case len(s.Secret) < minSecretLen:
-		return &settings.FieldError{Field: "secret", Problem: "must have at least 16 bytes"}
 	case s.Service == "":
 		return &settings.FieldError{Field: "service", Problem: "must not be empty"}
 	case s.Slots < 1 || s.Slots > maxSlots:
@@ -89,23 +86,17 @@
 	case s.CertificateFile == "" || s.KeyFile == "":
 		return &settings.FieldError{Field: "certificate-file", Problem: "certificate-file and key-file must be set"}
 	}
-	return s.validateAddresses()
+	return settings.FirstError(
+		settings.CheckSecret("secret", s.Secret),
+		settings.CheckAddress("tunnel-address", s.Tunnel),
+		settings.CheckAddress("sibling-address", s.Sibling),
+		settings.CheckAddress("upstream-address", s.Upstream),
+		s.Baseline.validate(),
+	)
 }
 
-func (s *Settings) validateAddresses() error {
-	for _, a := range []struct {
-		field string
-		addr  netip.AddrPort
-	}{
-		{"tunnel-address", s.Tunnel},
-		{"sibling-address", s.Sibling},
-		{"upstream-address", s.Upstream},
-	} {
-		if !a.addr.IsValid() || !a.addr.Addr().Is4() {
-			return &settings.FieldError{Field: a.field, Problem: "must be an IPv4 address and a port"}
-		}
-	}
-	switch s.Baseline {
+func (b Baseline) validate() error {
+	switch b {
 	case BaselineNone, BaselineLocal, BaselineRandom, BaselineFIFO:
 		return nil
 	default:
--- a/sidecar/siblings.go
+++ b/sidecar/siblings.go
@@ -194,6 +194,13 @@
 	return nil
 }
 
+// count is the number of siblings.
+func (s *Siblings) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.peers)
+}
+
 // all returns the clients of all siblings, by identity.
 func (s *Siblings) all() map[string]*sibling.Client {
 	s.mu.Lock()
