--- /dev/null
+++ b/balancer/flow_settings.go
@@ -0,0 +1,45 @@
+package balancer
+
+import (
+	"net/netip"
+
+	"greengagedyke/settings"
+)
+
+// FlowSettings describe a balancer of flows that carry no name of their own.
+type FlowSettings struct {
+	Identity      string `json:"identity"`
+	FailureDomain string `json:"failure-domain"`
+	// Packets is the UDP address for callers' packets.
+	Packets netip.AddrPort `json:"packets-address"`
+	// Tunnel is the UDP and TCP address for sidecars and other balancers.
+	Tunnel netip.AddrPort `json:"tunnel-address"`
+	// Ready is the HTTP address that tells whether the balancer takes packets.
+	Ready netip.AddrPort `json:"ready-address"`
+	// Store is the address of the platform's store.
+	Store netip.AddrPort `json:"store-address"`
+	// Peers are VMs of other balancers, to learn from while the store is away. Their
+	// tunnel has the own port.
+	Peers []netip.AddrPort `json:"peers,omitempty"`
+	// Metrics is an HTTP address for metrics; none if empty.
+	Metrics netip.AddrPort `json:"metrics-address,omitempty"`
+}
+
+// Defaults implements settings.Checked.
+func (*FlowSettings) Defaults() {}
+
+// Validate implements settings.Checked.
+func (s *FlowSettings) Validate() error {
+	switch {
+	case s.Identity == "":
+		return &settings.FieldError{Field: "identity", Problem: "must not be empty"}
+	case s.FailureDomain == "":
+		return &settings.FieldError{Field: "failure-domain", Problem: "must not be empty"}
+	}
+	return settings.FirstError(
+		settings.CheckAddress("packets-address", s.Packets),
+		settings.CheckAddress("tunnel-address", s.Tunnel),
+		settings.CheckAddress("ready-address", s.Ready),
+		settings.CheckAddress("store-address", s.Store),
+	)
+}
--- /dev/null
+++ b/balancer/flows.go
@@ -0,0 +1,415 @@
+package balancer
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"greengagedyke/clock"
+	"greengagedyke/flow"
+	"greengagedyke/peer"
+	"greengagedyke/platform"
+	"greengagedyke/registry"
+)
+
+const (
+	// socketBuffer is the number of bytes that may wait in a socket.
+	socketBuffer = 1 << 20
+	// maxDatagram is the largest datagram in bytes.
+	maxDatagram = 4096
+	// tellInterval is the time between lists of balancers to other balancers.
+	tellInterval = time.Second
+	// tellEvery is the number of reports of a sidecar between lists to it.
+	tellEvery = 8
+	// forwardAfterStop is how long a stopped balancer goes on to forward, until the
+	// routers have chosen others.
+	forwardAfterStop = 2500 * time.Millisecond
+	// routeTrust is how old the last word of the store or a peer may be for an unknown
+	// route to be refused.
+	routeTrust = 3 * time.Second
+)
+
+// Flows is a running balancer of flows that carry no name of their own.
+type Flows struct {
+	cfg      *FlowSettings
+	log      *slog.Logger
+	clock    *clock.Clock
+	packets  *net.UDPConn
+	tunnel   *net.UDPConn
+	known    *registry.Known
+	codec    platform.Packets
+	counters *flowCounters
+	leaving  atomic.Bool
+	source   *configurationSource
+
+	mu       sync.Mutex
+	steering *flow.Steering
+}
+
+type flowCounters struct {
+	reasons  [flow.ReasonCount]metrics.Counter
+	received metrics.Counter
+	refused  metrics.Counter
+	reports  metrics.Counter
+	failed   metrics.Counter
+}
+
+func newFlowCounters(r metrics.Registry) *flowCounters {
+	c := &flowCounters{
+		received: metrics.GetOrRegisterCounter("packets.received", r),
+		refused:  metrics.GetOrRegisterCounter("packets.unreadable", r),
+		reports:  metrics.GetOrRegisterCounter("reports.received", r),
+		failed:   metrics.GetOrRegisterCounter("datagrams.not-sent", r),
+	}
+	for i := range c.reasons {
+		c.reasons[i] = metrics.GetOrRegisterCounter("packets."+flow.Reason(i).String(), r)
+	}
+	return c
+}
+
+// RunFlows runs a balancer of flows without a name of their own. When ctx ends, it
+// tells the routers to go elsewhere and forwards until they do, or until abort ends.
+func RunFlows(ctx, abort context.Context, log *slog.Logger, cfg *FlowSettings, r metrics.Registry) error {
+	f := &Flows{
+		cfg:      cfg,
+		log:      log,
+		clock:    clock.New(),
+		known:    registry.NewKnown(cfg.Tunnel),
+		counters: newFlowCounters(r),
+		steering: flow.NewSteering(cfg.FailureDomain),
+	}
+	return errors.Wrap(f.run(ctx, abort, r), "balancer.RunFlows")
+}
+
+func (f *Flows) run(ctx, abort context.Context, r metrics.Registry) error {
+	var err error
+	if f.packets, err = listenUDP(f.cfg.Packets); err != nil {
+		return err
+	}
+	defer f.packets.Close()
+	if f.tunnel, err = listenUDP(f.cfg.Tunnel); err != nil {
+		return err
+	}
+	defer f.tunnel.Close()
+	ready, err := net.Listen("tcp4", f.cfg.Ready.String())
+	if err != nil {
+		return err
+	}
+	defer ready.Close()
+	shared, err := net.Listen("tcp4", f.cfg.Tunnel.String())
+	if err != nil {
+		return err
+	}
+	defer shared.Close()
+	client, closeClient := platform.New(f.cfg.Store, r)
+	defer closeClient()
+	f.source = newConfigurationSource(f.log, client, f.configure)
+	reg := registry.New(f.log, client, f.mention)
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	f.mention(f.seeds())
+	f.log.Info("balancer-started", "identity", f.cfg.Identity, "failure-domain", f.cfg.FailureDomain)
+	serveHTTP(life, f.log, ready, platform.ReadyHandler(f.ready))
+	wait := startAll(life, end,
+		f.source.watch,
+		func(ctx context.Context) { f.source.serve(ctx, shared) },
+		func(ctx context.Context) { reg.Keep(ctx, f.cfg.Tunnel) },
+		reg.Watch,
+		f.tick,
+		func(context.Context) { f.readPackets() },
+		func(context.Context) { f.readTunnel() },
+	)
+	<-ctx.Done()
+	f.leave(abort)
+	f.packets.Close()
+	f.tunnel.Close()
+	wait()
+	f.log.Info("balancer-stopped", "identity", f.cfg.Identity)
+	return nil
+}
+
+func listenUDP(addr netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.SetReadBuffer(socketBuffer)
+}
+
+// serveHTTP serves until ctx ends.
+func serveHTTP(ctx context.Context, log *slog.Logger, ln net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	context.AfterFunc(ctx, func() { server.Close() })
+	go func() {
+		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.Error("http-server-failed", "address", ln.Addr().String(), "error", err.Error())
+		}
+	}()
+}
+
+// startAll runs each function in a goroutine and returns a function that ends them
+// and waits.
+func startAll(ctx context.Context, end func(), functions ...func(context.Context)) func() {
+	done := make(chan struct{})
+	for _, run := range functions {
+		go func() {
+			run(ctx)
+			done <- struct{}{}
+		}()
+	}
+	return func() {
+		end()
+		for range functions {
+			<-done
+		}
+	}
+}
+
+// seeds are the tunnels of the peers in the settings.
+func (f *Flows) seeds() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, p := range f.cfg.Peers {
+		list = append(list, netip.AddrPortFrom(p.Addr(), f.cfg.Tunnel.Port()))
+	}
+	return list
+}
+
+// leave forwards until the routers have chosen other balancers.
+func (f *Flows) leave(abort context.Context) {
+	f.log.Info("balancer-leaving", "identity", f.cfg.Identity)
+	f.leaving.Store(true)
+	select {
+	case <-abort.Done():
+	case <-time.After(forwardAfterStop):
+	}
+}
+
+// ready reports whether routers may send packets.
+func (f *Flows) ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, takes := f.steering.Members(f.clock.Now())
+	return !f.leaving.Load() && f.steering.Configuration().Version > 0 && takes > 0
+}
+
+// mention takes in addresses of balancers, and tells new ones of all others.
+func (f *Flows) mention(addrs []netip.AddrPort) {
+	fresh := f.known.Mention(f.clock.Now(), addrs...)
+	if len(fresh) == 0 {
+		return
+	}
+	f.log.Info("balancers-found", "count", len(fresh), "first", fresh[0].String(), "known", len(f.known.List()))
+	f.tellSidecars()
+}
+
+// configure puts a configuration in force unless a newer one is.
+func (f *Flows) configure(cfg *flow.Configuration) bool {
+	f.mu.Lock()
+	taken := f.steering.Configure(cfg)
+	f.mu.Unlock()
+	if taken {
+		f.log.Info("configuration-in-force", "version", cfg.Version, "routes", len(cfg.Routes))
+	}
+	return taken
+}
+
+func (f *Flows) version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.steering.Configuration().Version
+}
+
+// tick does what is due regularly until ctx ends.
+func (f *Flows) tick(ctx context.Context) {
+	t := time.NewTicker(tellInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		suspended := f.clock.Suspended()
+		now := f.clock.Sync()
+		if lost := f.clock.Suspended() - suspended; lost > tellInterval {
+			f.log.Warn("vm-was-suspended", "for-ms", lost.Milliseconds())
+		}
+		f.mu.Lock()
+		lost := f.steering.Expire(now)
+		f.mu.Unlock()
+		for _, addr := range lost {
+			f.log.Info("sidecar-forgotten", "address", addr.String())
+		}
+		for _, addr := range f.known.Expire(now) {
+			f.log.Info("balancer-forgotten", "address", addr.String())
+		}
+		f.tellBalancers()
+	}
+}
+
+func (f *Flows) balancersMessage() []byte {
+	list := append([]netip.AddrPort{f.cfg.Tunnel}, f.known.List()...)
+	return peer.AppendBalancers(nil, &peer.Balancers{Version: f.version(), Addrs: list})
+}
+
+func (f *Flows) tellBalancers() {
+	message := f.balancersMessage()
+	for _, addr := range f.known.List() {
+		f.send(message, addr)
+	}
+}
+
+func (f *Flows) tellSidecars() {
+	f.mu.Lock()
+	addrs := f.steering.Addresses()
+	f.mu.Unlock()
+	message := f.balancersMessage()
+	for _, addr := range addrs {
+		f.send(message, addr)
+	}
+}
+
+func (f *Flows) send(b []byte, to netip.AddrPort) {
+	if _, err := f.tunnel.WriteToUDPAddrPort(b, to); err != nil {
+		f.counters.failed.Inc(1)
+	}
+}
+
+// readPackets forwards callers' packets until the socket is closed.
+func (f *Flows) readPackets() {
+	in := make([]byte, maxDatagram)
+	out := make([]byte, 0, maxDatagram+peer.MaxHead)
+	for {
+		n, _, err := f.packets.ReadFromUDPAddrPort(in)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			f.counters.failed.Inc(1)
+			continue
+		}
+		f.counters.received.Inc(1)
+		f.packet(in[:n], out)
+	}
+}
+
+func (f *Flows) packet(b, out []byte) {
+	var p flow.Packet
+	if err := f.codec.Parse(b, true, &p); err != nil {
+		f.counters.refused.Inc(1)
+		return
+	}
+	now := f.clock.Now()
+	f.mu.Lock()
+	v := f.steering.Decide(&p, now)
+	version := f.steering.Configuration().Version
+	f.mu.Unlock()
+	f.counters.reasons[v.Reason].Inc(1)
+	if v.Action == flow.ActionReset && v.Reason == flow.ReasonNoRoute && !f.source.fresh(now) {
+		v.Action = flow.ActionDrop
+	}
+	switch v.Action {
+	case flow.ActionForward:
+		out = peer.AppendPacket(out, &v.Path, 0, f.cfg.Tunnel, false)
+		f.send(append(out, b...), v.Path.To)
+	case flow.ActionReset:
+		reset := f.codec.AppendReset(out, p.Key, p.Ack)
+		caller := netip.AddrPortFrom(p.Key.Caller().Addr(), f.cfg.Packets.Port())
+		if _, err := f.packets.WriteToUDPAddrPort(reset, caller); err != nil {
+			f.counters.failed.Inc(1)
+		}
+	}
+	if v.Reason != flow.ReasonKnown {
+		f.explain(&p, &v, version, now)
+	}
+}
+
+// explain logs a decision with what decided it.
+func (f *Flows) explain(p *flow.Packet, v *flow.Verdict, version uint64, now time.Time) {
+	f.mu.Lock()
+	m, _ := f.steering.Member(v.Path.To)
+	f.mu.Unlock()
+	f.log.Info("packet-steered", "flow", p.Key.String(), "reason", v.Reason.String(), "opening", p.Opening(),
+		"copies", p.Copies(), "version", version, "to", v.Path.To.String(), "alternatives", v.Path.N,
+		"busy", m.Load.Busy, "flows", m.Load.Flows, "report-age-ms", now.Sub(m.Heard).Milliseconds())
+}
+
+// readTunnel takes in what sidecars and balancers say until the socket is closed.
+func (f *Flows) readTunnel() {
+	in := make([]byte, maxDatagram)
+	for {
+		n, from, err := f.tunnel.ReadFromUDPAddrPort(in)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			f.counters.failed.Inc(1)
+			continue
+		}
+		if err := f.datagram(in[:n], from); err != nil {
+			f.counters.refused.Inc(1)
+		}
+	}
+}
+
+func (f *Flows) datagram(b []byte, from netip.AddrPort) error {
+	kind, body, err := peer.KindOf(b)
+	if err != nil {
+		return err
+	}
+	switch kind {
+	case peer.KindLoad:
+		l, err := peer.ParseLoad(body)
+		if err != nil {
+			return err
+		}
+		f.report(from, l)
+	case peer.KindHeld, peer.KindMissed:
+		k, err := peer.ParseKey(body)
+		if err != nil {
+			return err
+		}
+		f.located(kind, k, from)
+	case peer.KindBalancers:
+		l, err := peer.ParseBalancers(body)
+		if err != nil {
+			return err
+		}
+		f.mention(l.Addrs)
+		f.source.heard(from, l.Version, f.version(), f.clock.Now())
+	default:
+		return peer.ErrForeign
+	}
+	return nil
+}
+
+func (f *Flows) report(from netip.AddrPort, l flow.Load) {
+	f.counters.reports.Inc(1)
+	f.mu.Lock()
+	changed := f.steering.Report(from, l, f.clock.Now())
+	f.mu.Unlock()
+	if changed {
+		f.log.Info("sidecar-state", "address", from.String(), "state", l.State.String(),
+			"start", l.Start, "sequence", l.Sequence)
+	}
+	if l.Sequence%tellEvery == 1 {
+		f.send(f.balancersMessage(), from)
+	}
+}
+
+func (f *Flows) located(kind peer.Kind, k flow.Key, from netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if kind == peer.KindHeld {
+		f.steering.Located(k, from, f.clock.Now())
+		return
+	}
+	f.steering.Missed(k, from, f.clock.Now())
+}
--- a/cmd/greengagedyke/balancer.go
+++ b/cmd/greengagedyke/balancer.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"os"
+
 	"github.com/rcrowley/go-metrics"
 
 	"greengagedyke/balancer"
+	"greengagedyke/logs"
 	"greengagedyke/settings"
 )
 
@@ -17,11 +20,15 @@
 )
 
 type balancerCommand struct {
-	Settings string `long:"settings" short:"s" required:"true" value-name:"FILE" description:"settings file"`
+	Settings string `long:"settings" short:"s" env:"GREENGAGEDYKE_SETTINGS" required:"true" value-name:"FILE" description:"settings file"`
+	Flows    bool   `long:"flows" description:"serve flows that carry no name of their own, as a platform's routers hand them over"`
 }
 
 // Execute implements flags.Commander.
 func (c *balancerCommand) Execute([]string) error {
+	if c.Flows {
+		return c.runFlows()
+	}
 	cfg := &balancer.Settings{}
 	if err := settings.Load(c.Settings, cfg); err != nil {
 		return err
@@ -34,3 +41,19 @@
 	}
 	return balancer.Run(ctx, abort, log, cfg, registry)
 }
+
+func (c *balancerCommand) runFlows() error {
+	cfg := &balancer.FlowSettings{}
+	if err := settings.Load(c.Settings, cfg); err != nil {
+		return err
+	}
+	ctx, abort := lifetime()
+	log, flush := logs.New(os.Stdout)
+	defer flush()
+	reloadNotice(log)
+	registry := metrics.NewRegistry()
+	if err := serveMetrics(ctx, log, cfg.Metrics, registry); err != nil {
+		return err
+	}
+	return balancer.RunFlows(ctx, abort, log, cfg, registry)
+}
--- a/cmd/greengagedyke/main.go
+++ b/cmd/greengagedyke/main.go
@@ -91,6 +91,18 @@
 	return ctx, abort
 }
 
+// reloadNotice notes each SIGHUP. The settings of a running process stay as they are:
+// all of them hold for its lifetime.
+func reloadNotice(log *slog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			log.Info("settings-changed", "in-force", "from the next start")
+		}
+	}()
+}
+
 // serveMetrics serves the registry as JSON on a local address until ctx ends.
 func serveMetrics(ctx context.Context, log *slog.Logger, addr netip.AddrPort, r metrics.Registry) error {
 	if !addr.IsValid() {
--- a/cmd/greengagedyke/sidecar.go
+++ b/cmd/greengagedyke/sidecar.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"os"
+
 	"github.com/rcrowley/go-metrics"
 
+	"greengagedyke/logs"
 	"greengagedyke/settings"
 	"greengagedyke/sidecar"
 )
@@ -17,11 +20,15 @@
 )
 
 type sidecarCommand struct {
-	Settings string `long:"settings" short:"s" required:"true" value-name:"FILE" description:"settings file"`
+	Settings string `long:"settings" short:"s" env:"GREENGAGEDYKE_SETTINGS" required:"true" value-name:"FILE" description:"settings file"`
+	Flows    bool   `long:"flows" description:"serve flows that carry no name of their own, as a platform's routers hand them over"`
 }
 
 // Execute implements flags.Commander.
 func (c *sidecarCommand) Execute([]string) error {
+	if c.Flows {
+		return c.runFlows()
+	}
 	cfg := &sidecar.Settings{}
 	if err := settings.Load(c.Settings, cfg); err != nil {
 		return err
@@ -34,3 +41,19 @@
 	}
 	return sidecar.Run(ctx, abort, log, cfg, registry)
 }
+
+func (c *sidecarCommand) runFlows() error {
+	cfg := &sidecar.FlowSettings{}
+	if err := settings.Load(c.Settings, cfg); err != nil {
+		return err
+	}
+	ctx, abort := lifetime()
+	log, flush := logs.New(os.Stdout)
+	defer flush()
+	reloadNotice(log)
+	registry := metrics.NewRegistry()
+	if err := serveMetrics(ctx, log, cfg.Metrics, registry); err != nil {
+		return err
+	}
+	return sidecar.RunFlows(ctx, abort, log, cfg, registry)
+}
--- /dev/null
+++ b/flow/configuration.go
@@ -0,0 +1,73 @@
+package flow
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Tag is the number by which packets between processes name a service.
+type Tag uint32
+
+// TagOf returns the tag of a service.
+func TagOf(service string) Tag { return Tag(xxhash.Sum64String("service " + service)) }
+
+// Share is a service's part of a route's new flows.
+type Share struct {
+	Service string
+	Tag     Tag
+	Weight  uint32
+}
+
+// Route says where the new flows to one address go.
+type Route struct {
+	Name   string
+	Shares []Share
+	// Priority orders routes when there is too much work; 0 is highest.
+	Priority int
+	// Objective is the time in which callers want to be answered.
+	Objective time.Duration
+	// Timeout bounds a request.
+	Timeout time.Duration
+	// Idempotent says that requests may run more than once.
+	Idempotent bool
+}
+
+// Share picks the service for a flow. It is the same in all processes that hold the
+// same configuration.
+func (r *Route) Share(hash uint64) *Share {
+	var total uint64
+	for i := range r.Shares {
+		total += uint64(r.Shares[i].Weight)
+	}
+	if total == 0 {
+		return nil
+	}
+	point := mix(hash) % total
+	for i := range r.Shares {
+		w := uint64(r.Shares[i].Weight)
+		if point < w {
+			return &r.Shares[i]
+		}
+		point -= w
+	}
+	return nil
+}
+
+// Configuration is everything that operators declared for flows. It is immutable.
+type Configuration struct {
+	// Version only grows.
+	Version uint64
+	Routes  map[netip.AddrPort]*Route
+	// IdleTimeout is how long an open flow may be idle.
+	IdleTimeout time.Duration
+}
+
+// The finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/flow/holder.go
@@ -0,0 +1,391 @@
+package flow
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// answerPatience is how long an upstream may take to answer an opening packet
+	// before a sibling gets it.
+	answerPatience = 60 * time.Millisecond
+	// strangerAge is how long a sidecar remembers that its upstream does not hold a flow.
+	strangerAge = 10 * time.Second
+	// closedAge is how long a flow that has ended is kept.
+	closedAge = 3 * time.Second
+	// probeAge is how long after its start a sidecar asks its upstream about flows
+	// that it does not know.
+	probeAge = 65 * time.Second
+	// queueAhead is the number of requests that may wait for each slot before opening
+	// packets go to siblings.
+	queueAhead = 1
+	// strangerLimit bounds the flows remembered as not held.
+	strangerLimit = 10_000
+	// ackSlack is added to the bytes sent when acknowledgements are compared.
+	ackSlack = 76_800
+)
+
+// Arrival is a packet with the path on which it came.
+type Arrival struct {
+	Packet Packet
+	Path   Path
+	// Hop is the number of sidecars before this one.
+	Hop int
+	// Origin is the balancer that sent the packet first.
+	Origin netip.AddrPort
+	// Offered says that an upstream may still answer the opening packet: nobody may
+	// reset the flow.
+	Offered bool
+	// Raw are the bytes of an opening packet.
+	Raw []byte
+}
+
+// Ruling is a sidecar's decision about a packet.
+type Ruling struct {
+	Action Action
+	Reason Reason
+	// To and Hop hold for packets that are sent on to a sibling.
+	To  netip.AddrPort
+	Hop int
+	// Tell is the balancer to be told that the flow is held here, or, if Missed, that
+	// it is not.
+	Tell   netip.AddrPort
+	Missed bool
+	// Arrival is the packet's path if it came back from the upstream.
+	Arrival *Arrival
+}
+
+// held is a flow that the own upstream holds, or may be about to.
+type held struct {
+	// first is the upstream's first sequence number, once it answered.
+	first    uint32
+	answered bool
+	// sent is the distance from first to the end of what the upstream sent.
+	sent uint32
+	// opening is the newest opening packet until it is answered.
+	opening Arrival
+	offered time.Time
+	pending bool
+	// waits is set while a request waits for the first byte of its answer.
+	waits bool
+	used  time.Time
+	// ended holds a bit for each direction that has ended.
+	ended uint8
+	// incarnation counts the upstreams before the one that holds the flow.
+	incarnation int
+}
+
+// stranger is a flow that the upstream was asked about.
+type stranger struct {
+	at      time.Time
+	arrival Arrival
+}
+
+// Holder decides for a sidecar. It is not safe for concurrent use.
+type Holder struct {
+	gate *Gate
+	tag  Tag
+	// started is when this process started; it knows all flows of upstreams that
+	// started later.
+	started     time.Time
+	incarnation int
+	flows       map[Key]*held
+	// strangers are flows that the upstream was asked about.
+	strangers map[Key]stranger
+	pending   int
+	busy      int
+	leaving   bool
+	idle      time.Duration
+}
+
+// NewHolder returns the decisions of a sidecar that started now.
+func NewHolder(gate *Gate, service string, idle time.Duration, now time.Time) *Holder {
+	return &Holder{
+		gate:      gate,
+		tag:       TagOf(service),
+		started:   now,
+		flows:     map[Key]*held{},
+		strangers: map[Key]stranger{},
+		idle:      idle,
+	}
+}
+
+// Heartbeat takes in a heartbeat of the upstream.
+func (h *Holder) Heartbeat(b Heartbeat, now time.Time) HeartbeatOutcome {
+	first := h.gate.Last().ID == ""
+	outcome := h.gate.Heartbeat(b, now)
+	if outcome != HeartbeatStarted {
+		return outcome
+	}
+	h.tag = TagOf(b.Service)
+	if !first {
+		h.incarnation++
+		h.started = now.Add(-probeAge)
+		clear(h.strangers)
+	}
+	return outcome
+}
+
+// End notes that the upstream with this ID ends.
+func (h *Holder) End(id string) bool { return h.gate.End(id) }
+
+// Leave makes the sidecar take no new flows.
+func (h *Holder) Leave() { h.leaving = true }
+
+// State is what the sidecar says of its upstream.
+func (h *Holder) State(now time.Time) State {
+	if h.leaving {
+		return StateLeaving
+	}
+	return h.gate.State(now)
+}
+
+// Load describes the sidecar, but for what only its process knows.
+func (h *Holder) Load(now time.Time) Load {
+	last := h.gate.Last()
+	return Load{
+		Tag:   h.tag,
+		State: h.State(now),
+		Slots: uint16(max(0, min(last.Slots, 1<<16-1))),
+		Busy:  uint16(min(h.busy, 1<<16-1)),
+		Flows: uint16(min(len(h.flows), 1<<16-1)),
+		Cold:  max(0, last.Cold-h.gate.Age(now)),
+	}
+}
+
+// Pending reports whether an opening packet waits for the upstream's answer.
+func (h *Holder) Pending() bool { return h.pending > 0 }
+
+// FromTunnel decides about a caller's packet.
+func (h *Holder) FromTunnel(a *Arrival, now time.Time) Ruling {
+	if a.Packet.Opening() {
+		return h.open(a, now)
+	}
+	f, ok := h.flows[a.Packet.Key]
+	switch {
+	case !ok:
+		return h.unknown(a, now)
+	case f.incarnation != h.incarnation:
+		return h.orphan(a)
+	case f.answered && a.Packet.Flags.Has(FlagAck) && !f.covers(a.Packet.Ack):
+		return pass(a, ReasonNotOurs)
+	}
+	h.note(f, &a.Packet, now)
+	r := Ruling{Action: ActionUpstream, Reason: ReasonKnown}
+	if a.Hop > 0 {
+		r.Tell = a.Origin
+	}
+	return r
+}
+
+// covers reports whether an acknowledgement fits what the upstream sent: two upstreams
+// may have answered the same opening packet, with different numbers.
+func (f *held) covers(ack uint32) bool { return ack-f.first-1 <= f.sent+ackSlack }
+
+// note follows a flow by a caller's packet.
+func (h *Holder) note(f *held, p *Packet, now time.Time) {
+	f.used = now
+	if p.Length > 0 && !f.waits && f.ended == 0 {
+		f.waits = true
+		h.busy++
+	}
+	if p.Flags.Has(FlagEnd) {
+		f.ended |= 1
+	}
+	if p.Flags.Has(FlagReset) {
+		f.ended |= 3
+		h.settle(f)
+	}
+}
+
+// settle notes that no request of the flow waits any longer.
+func (h *Holder) settle(f *held) {
+	if f.waits {
+		f.waits = false
+		h.busy--
+	}
+}
+
+// pass sends a packet on to the next sidecar of its path.
+func pass(a *Arrival, reason Reason) Ruling {
+	if a.Hop < a.Path.N {
+		return Ruling{Action: ActionForward, Reason: reason, To: a.Path.Next[a.Hop], Hop: a.Hop + 1}
+	}
+	if a.Packet.Opening() {
+		return Ruling{Action: a.refusal(), Reason: reason}
+	}
+	return Ruling{Action: ActionDrop, Reason: reason, Tell: a.Origin, Missed: true}
+}
+
+// refusal ends the attempt of a caller at once if no copy of the opening packet was
+// placed before.
+func (a *Arrival) refusal() Action {
+	if a.Packet.Copies() == 0 && !a.Offered {
+		return ActionReset
+	}
+	return ActionDrop
+}
+
+func (h *Holder) open(a *Arrival, now time.Time) Ruling {
+	if a.Path.Tag != h.tag {
+		return pass(a, ReasonOtherService)
+	}
+	if h.State(now) != StateReady {
+		return pass(a, ReasonClosed)
+	}
+	f, ok := h.flows[a.Packet.Key]
+	if ok && f.incarnation == h.incarnation {
+		f.used = now
+		return Ruling{Action: ActionUpstream, Reason: ReasonCopy}
+	}
+	if a.Hop < a.Path.N && a.Hop < 2 && h.crowded() {
+		return pass(a, ReasonBusy)
+	}
+	if ok {
+		h.settle(f)
+	}
+	h.flows[a.Packet.Key] = &held{opening: *a, offered: now, pending: true, used: now, incarnation: h.incarnation}
+	h.pending++
+	return Ruling{Action: ActionUpstream, Reason: ReasonPlaced}
+}
+
+// crowded reports whether so much work waits that a sibling may be faster.
+func (h *Holder) crowded() bool {
+	slots := max(1, h.gate.Last().Slots)
+	return h.busy >= slots*(1+queueAhead)
+}
+
+// unknown decides about a packet of a flow that this process does not know. After a
+// start of its own, the upstream may hold it all the same.
+func (h *Holder) unknown(a *Arrival, now time.Time) Ruling {
+	if now.Sub(h.started) > probeAge {
+		return pass(a, ReasonUnknownFlow)
+	}
+	if s, ok := h.strangers[a.Packet.Key]; ok && now.Sub(s.at) < strangerAge {
+		return pass(a, ReasonUnknownFlow)
+	}
+	h.strangers[a.Packet.Key] = stranger{at: now, arrival: *a}
+	return Ruling{Action: ActionUpstream, Reason: ReasonProbe}
+}
+
+// orphan ends a flow whose upstream was replaced.
+func (h *Holder) orphan(a *Arrival) Ruling {
+	if a.Packet.Flags.Has(FlagReset) {
+		return Ruling{Action: ActionDrop, Reason: ReasonUpstreamLost}
+	}
+	return Ruling{Action: ActionReset, Reason: ReasonUpstreamLost}
+}
+
+// FromUpstream decides about a packet of the own upstream.
+func (h *Holder) FromUpstream(p *Packet, now time.Time) Ruling {
+	if p.Flags.Has(FlagBounced) {
+		return h.bounced(p)
+	}
+	f, ok := h.flows[p.Key]
+	if !ok || f.incarnation != h.incarnation {
+		f = &held{first: p.Sequence - 1, answered: true, incarnation: h.incarnation}
+		h.flows[p.Key] = f
+		delete(h.strangers, p.Key)
+	}
+	f.used = now
+	r := Ruling{Action: ActionCaller, Reason: ReasonKnown}
+	if p.Flags.Has(FlagOpen) && !f.answered {
+		f.first = p.Sequence
+		f.answered = true
+		r.Tell = f.opening.Origin
+	}
+	if f.pending {
+		f.pending = false
+		h.pending--
+		h.gate.answered()
+	}
+	if end := p.Sequence + uint32(p.Length) - f.first; end > f.sent && end < 1<<31 {
+		f.sent = end
+	}
+	if p.Length > 0 || p.Flags.Has(FlagEnd) {
+		h.settle(f)
+	}
+	if p.Flags.Has(FlagEnd) {
+		f.ended |= 2
+	}
+	if p.Flags.Has(FlagReset) {
+		f.ended = 3
+		h.settle(f)
+	}
+	return r
+}
+
+// bounced decides about a packet that the upstream returned.
+func (h *Holder) bounced(p *Packet) Ruling {
+	f, ok := h.flows[p.Key]
+	switch {
+	case !ok:
+		return h.strayed(p)
+	case p.Opening() && f.pending:
+		a := f.opening
+		h.forget(p.Key, f)
+		r := pass(&a, ReasonBounced)
+		r.Arrival = &a
+		return r
+	case p.Opening() || f.ended != 0 || !f.answered || !f.covers(p.Ack):
+		return Ruling{Action: ActionDrop, Reason: ReasonBounced}
+	}
+	// The upstream answered this flow and no longer holds it: it is a new process.
+	h.forget(p.Key, f)
+	if p.Flags.Has(FlagReset) {
+		return Ruling{Action: ActionDrop, Reason: ReasonUpstreamLost}
+	}
+	return Ruling{Action: ActionReset, Reason: ReasonUpstreamLost}
+}
+
+// strayed sends the packet of a flow that the upstream was asked about on.
+func (h *Holder) strayed(p *Packet) Ruling {
+	s, ok := h.strangers[p.Key]
+	if !ok || p.Opening() {
+		return Ruling{Action: ActionDrop, Reason: ReasonBounced}
+	}
+	r := pass(&s.arrival, ReasonUnknownFlow)
+	r.Arrival = &s.arrival
+	return r
+}
+
+func (h *Holder) forget(k Key, f *held) {
+	if f.pending {
+		h.pending--
+	}
+	h.settle(f)
+	delete(h.flows, k)
+}
+
+// Overdue sends on the opening packets that the upstream left without an answer. The
+// flows are kept: the answer may still come.
+func (h *Holder) Overdue(now time.Time, send func(*Arrival, Ruling)) {
+	if h.pending == 0 {
+		return
+	}
+	for _, f := range h.flows {
+		if !f.pending || now.Sub(f.offered) < answerPatience {
+			continue
+		}
+		f.pending = false
+		h.pending--
+		h.gate.unanswered()
+		f.opening.Offered = true
+		send(&f.opening, pass(&f.opening, ReasonUnanswered))
+	}
+}
+
+// Expire forgets flows that have ended or are idle.
+func (h *Holder) Expire(now time.Time) {
+	for k, f := range h.flows {
+		age := now.Sub(f.used)
+		if f.ended == 3 && age > closedAge || age > h.idle {
+			h.forget(k, f)
+		}
+	}
+	for k, s := range h.strangers {
+		if now.Sub(s.at) > strangerAge || len(h.strangers) > strangerLimit {
+			delete(h.strangers, k)
+		}
+	}
+}
--- /dev/null
+++ b/flow/member.go
@@ -0,0 +1,61 @@
+package flow
+
+import (
+	"net/netip"
+	"time"
+)
+
+// State is what a sidecar says of its upstream.
+type State uint8
+
+const (
+	// StateWaiting: the sidecar has not heard its upstream yet, or not for long.
+	StateWaiting State = iota
+	// StateReady: the upstream takes new flows.
+	StateReady
+	// StateLeaving: the upstream keeps its flows and takes no new ones.
+	StateLeaving
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	names := [...]string{"waiting", "ready", "leaving"}
+	if int(s) >= len(names) {
+		return "unknown"
+	}
+	return names[s]
+}
+
+// Load is what a sidecar reports of itself and its upstream.
+type Load struct {
+	// Start identifies the sidecar's process, Sequence orders its reports.
+	Start    uint64
+	Sequence uint32
+	Tag      Tag
+	// Domain is the number of the failure domain.
+	Domain uint32
+	State  State
+	Slots  uint16
+	// Busy counts the requests that wait for an answer.
+	Busy  uint16
+	Flows uint16
+	// Cold is how much longer the upstream stays slow after its start.
+	Cold time.Duration
+}
+
+// Member is what a balancer knows of a sidecar.
+type Member struct {
+	Addr netip.AddrPort
+	Load Load
+	// Heard is when the newest report arrived.
+	Heard time.Time
+	// Sent counts the opening packets sent since that report.
+	Sent uint16
+	// unanswered is when the oldest opening packet that got no answer was sent;
+	// zero if all were answered.
+	unanswered time.Time
+	seed       uint64
+}
+
+// DomainOf returns the number of a failure domain.
+func DomainOf(name string) uint32 { return uint32(TagOf("failure-domain " + name)) }
--- /dev/null
+++ b/flow/ranking.go
@@ -0,0 +1,65 @@
+package flow
+
+import "encoding/binary"
+
+const (
+	// rankingBuckets is the number of buckets of a ranking, a power of two.
+	rankingBuckets = 1024
+	// RankingDepth is the number of members that a ranking orders in each bucket.
+	RankingDepth = 8
+)
+
+// ranking orders the members of a service for each flow by rendezvous hashing. The
+// order is computed when the membership changes, so a look-up costs the same for any
+// number of members, and balancers that know the same members agree.
+type ranking struct {
+	members []*Member
+	depth   int
+	buckets [][RankingDepth]uint16
+}
+
+func newRanking(members []*Member) *ranking {
+	r := &ranking{members: members, depth: min(len(members), RankingDepth)}
+	r.buckets = make([][RankingDepth]uint16, rankingBuckets)
+	for b := range r.buckets {
+		r.fill(b)
+	}
+	return r
+}
+
+// fill orders the members with the highest scores of a bucket by insertion.
+func (r *ranking) fill(b int) {
+	var scores [RankingDepth]uint64
+	n := 0
+	seed := mix(uint64(b))
+	for i, m := range r.members {
+		score := mix(m.seed ^ seed)
+		if n == r.depth && score <= scores[n-1] {
+			continue
+		}
+		if n < r.depth {
+			n++
+		}
+		at := n - 1
+		for at > 0 && scores[at-1] < score {
+			scores[at] = scores[at-1]
+			r.buckets[b][at] = r.buckets[b][at-1]
+			at--
+		}
+		scores[at] = score
+		r.buckets[b][at] = uint16(i)
+	}
+}
+
+// at returns the member of a rank for a flow's hash; rank is below depth.
+func (r *ranking) at(hash uint64, rank int) *Member {
+	return r.members[r.buckets[hash%rankingBuckets][rank]]
+}
+
+func memberSeed(m *Member) uint64 {
+	var b [8]byte
+	ip := m.Addr.Addr().As4()
+	copy(b[:4], ip[:])
+	binary.BigEndian.PutUint16(b[4:], m.Addr.Port())
+	return mix(binary.BigEndian.Uint64(b[:]))
+}
--- a/operator/api.go
+++ b/operator/api.go
@@ -22,7 +22,11 @@
 )
 
 // maxBody is the largest request body in bytes.
-const maxBody = platform.MaxValue
+const (
+	maxBody = platform.MaxValue
+	// ifRevisionHeader carries the revision that a change expects to be in force.
+	ifRevisionHeader = "If-Revision"
+)
 
 // Store holds what operators declared.
 type Store interface {
@@ -153,7 +157,7 @@
 	if len(cfg.Keys) == 0 {
 		cfg.Keys = current.Keys
 	}
-	expected, err := strconv.ParseUint(r.Header.Get(platform.IfRevisionHeader), 10, 64)
+	expected, err := strconv.ParseUint(r.Header.Get(ifRevisionHeader), 10, 64)
 	if err != nil {
 		expected = current.Revision
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -12,7 +12,6 @@
 
 	"github.com/pkg/errors"
 
-	"greengagedyke/platform"
 	"greengagedyke/service"
 )
 
@@ -56,7 +55,7 @@
 // ApplyTo replaces all services if the revision given is still in force; otherwise
 // the error names the one that is.
 func (c *Client) ApplyTo(ctx context.Context, services service.Services, revision uint64) (uint64, error) {
-	header := http.Header{platform.IfRevisionHeader: {strconv.FormatUint(revision, 10)}}
+	header := http.Header{ifRevisionHeader: {strconv.FormatUint(revision, 10)}}
 	return c.apply(ctx, services, header)
 }
 
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,185 @@
+// Package peer encodes the datagrams between balancers and sidecars that carry flows
+// without a name of their own: packets with their path, reports of load, and where a
+// flow is held.
+package peer
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"greengagedyke/flow"
+)
+
+// Kind is the kind of a datagram.
+type Kind uint8
+
+// The kinds of datagrams.
+const (
+	// KindPacket carries a caller's packet to a sidecar.
+	KindPacket Kind = 1 + iota
+	// KindLoad is a sidecar's report to a balancer.
+	KindLoad
+	// KindHeld says that the sender holds a flow.
+	KindHeld
+	// KindMissed says that the sender does not hold a flow.
+	KindMissed
+	// KindBalancers lists balancers.
+	KindBalancers
+)
+
+// Errors of datagrams.
+var (
+	// ErrForeign means that the datagram is not of this protocol.
+	ErrForeign = errors.New("peer: foreign datagram")
+	// ErrTruncated means that the datagram is shorter than its head says.
+	ErrTruncated = errors.New("peer: truncated datagram")
+)
+
+const (
+	magic = 0xd7
+	// commonSize is the length of magic and kind.
+	commonSize  = 2
+	addressSize = 6
+	// pathSize is the length of hop, number of addresses, offered, tag and origin.
+	pathSize = 3 + 4 + addressSize
+	loadSize = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4
+	// MaxHead is the largest number of bytes before a packet.
+	MaxHead = commonSize + pathSize + flow.RankingDepth*addressSize
+	// maxBalancers bounds a list of balancers.
+	maxBalancers = 200
+)
+
+// KindOf returns the kind of a datagram and its body.
+func KindOf(b []byte) (Kind, []byte, error) {
+	if len(b) < commonSize || b[0] != magic {
+		return 0, nil, ErrForeign
+	}
+	return Kind(b[1]), b[commonSize:], nil
+}
+
+func appendAddr(b []byte, a netip.AddrPort) []byte {
+	var ip [4]byte
+	if a.Addr().Is4() {
+		ip = a.Addr().As4()
+	}
+	b = append(b, ip[:]...)
+	return binary.BigEndian.AppendUint16(b, a.Port())
+}
+
+func addrFrom(b []byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:6]))
+}
+
+// AppendPacket appends the head of a packet: its path, the number of sidecars before
+// the receiver, and the balancer that sent it first. The packet follows.
+func AppendPacket(b []byte, p *flow.Path, hop int, origin netip.AddrPort, offered bool) []byte {
+	flags := byte(0)
+	if offered {
+		flags = 1
+	}
+	b = append(b, magic, byte(KindPacket), byte(hop), byte(p.N), flags)
+	b = binary.BigEndian.AppendUint32(b, uint32(p.Tag))
+	b = appendAddr(b, origin)
+	for i := range p.N {
+		b = appendAddr(b, p.Next[i])
+	}
+	return b
+}
+
+// ParsePacket reads the body of a KindPacket into a, and returns the packet in it.
+func ParsePacket(b []byte, a *flow.Arrival) ([]byte, error) {
+	if len(b) < pathSize {
+		return nil, ErrTruncated
+	}
+	n := int(b[1])
+	if n > flow.RankingDepth || len(b) < pathSize+n*addressSize {
+		return nil, ErrTruncated
+	}
+	a.Hop = int(b[0])
+	a.Offered = b[2] == 1
+	a.Path.Tag = flow.Tag(binary.BigEndian.Uint32(b[3:7]))
+	a.Origin = addrFrom(b[7:])
+	a.Path.N = n
+	rest := b[pathSize:]
+	for i := range n {
+		a.Path.Next[i] = addrFrom(rest[i*addressSize:])
+	}
+	return rest[n*addressSize:], nil
+}
+
+// AppendLoad appends a report.
+func AppendLoad(b []byte, l *flow.Load) []byte {
+	b = append(b, magic, byte(KindLoad))
+	b = binary.BigEndian.AppendUint64(b, l.Start)
+	b = binary.BigEndian.AppendUint32(b, l.Sequence)
+	b = binary.BigEndian.AppendUint32(b, uint32(l.Tag))
+	b = binary.BigEndian.AppendUint32(b, l.Domain)
+	b = append(b, byte(l.State))
+	b = binary.BigEndian.AppendUint16(b, l.Slots)
+	b = binary.BigEndian.AppendUint16(b, l.Busy)
+	b = binary.BigEndian.AppendUint16(b, l.Flows)
+	return binary.BigEndian.AppendUint32(b, uint32(l.Cold/time.Millisecond))
+}
+
+// ParseLoad reads the body of a KindLoad.
+func ParseLoad(b []byte) (flow.Load, error) {
+	if len(b) < loadSize {
+		return flow.Load{}, ErrTruncated
+	}
+	return flow.Load{
+		Start:    binary.BigEndian.Uint64(b),
+		Sequence: binary.BigEndian.Uint32(b[8:]),
+		Tag:      flow.Tag(binary.BigEndian.Uint32(b[12:])),
+		Domain:   binary.BigEndian.Uint32(b[16:]),
+		State:    flow.State(b[20]),
+		Slots:    binary.BigEndian.Uint16(b[21:]),
+		Busy:     binary.BigEndian.Uint16(b[23:]),
+		Flows:    binary.BigEndian.Uint16(b[25:]),
+		Cold:     time.Duration(binary.BigEndian.Uint32(b[27:])) * time.Millisecond,
+	}, nil
+}
+
+// AppendKey appends a datagram of the kinds KindHeld and KindMissed.
+func AppendKey(b []byte, kind Kind, k flow.Key) []byte {
+	return k.AppendBinary(append(b, magic, byte(kind)))
+}
+
+// ParseKey reads the body of a KindHeld or KindMissed.
+func ParseKey(b []byte) (flow.Key, error) {
+	if len(b) < flow.KeySize {
+		return flow.Key{}, ErrTruncated
+	}
+	return flow.KeyFromBinary(b), nil
+}
+
+// Balancers lists the balancers that the sender knows, and the version of the
+// configuration that it has in force.
+type Balancers struct {
+	Version uint64
+	Addrs   []netip.AddrPort
+}
+
+// AppendBalancers appends a list of balancers; a longer one than fits is cut.
+func AppendBalancers(b []byte, l *Balancers) []byte {
+	b = append(b, magic, byte(KindBalancers))
+	b = binary.BigEndian.AppendUint64(b, l.Version)
+	for _, a := range l.Addrs[:min(len(l.Addrs), maxBalancers)] {
+		b = appendAddr(b, a)
+	}
+	return b
+}
+
+// ParseBalancers reads the body of a KindBalancers.
+func ParseBalancers(b []byte) (Balancers, error) {
+	if len(b) < 8 || (len(b)-8)%addressSize != 0 {
+		return Balancers{}, ErrTruncated
+	}
+	l := Balancers{Version: binary.BigEndian.Uint64(b)}
+	for rest := b[8:]; len(rest) > 0; rest = rest[addressSize:] {
+		l.Addrs = append(l.Addrs, addrFrom(rest))
+	}
+	return l, nil
+}
--- /dev/null
+++ b/sidecar/flow_settings.go
@@ -0,0 +1,72 @@
+package sidecar
+
+import (
+	"net/netip"
+	"time"
+
+	"greengagedyke/service"
+	"greengagedyke/settings"
+)
+
+// FlowSettings describe a sidecar of flows that carry no name of their own.
+type FlowSettings struct {
+	Identity      string `json:"identity"`
+	FailureDomain string `json:"failure-domain"`
+	// Service is the service that the upstream on this VM serves.
+	Service string `json:"service"`
+	// Tunnel is the UDP address for packets from balancers and siblings.
+	Tunnel netip.AddrPort `json:"tunnel-address"`
+	// Outbound is the UDP address to which the upstream sends its packets.
+	Outbound netip.AddrPort `json:"outbound-address"`
+	// Upstream is the UDP address of the upstream.
+	Upstream netip.AddrPort `json:"upstream-address"`
+	// Heartbeats is the HTTP address for the upstream's heartbeats.
+	Heartbeats netip.AddrPort `json:"heartbeat-address"`
+	// Ready is the HTTP address that tells whether the sidecar runs.
+	Ready netip.AddrPort `json:"ready-address"`
+	// Store is the address of the platform's store.
+	Store netip.AddrPort `json:"store-address"`
+	// Peers are VMs of balancers, to learn from while the store is away.
+	Peers []netip.AddrPort `json:"peers,omitempty"`
+	// BalancerPort is the port of the balancers' tunnels.
+	BalancerPort uint16 `json:"balancer-port"`
+	// Patience is the age of a heartbeat from which the upstream's address may belong
+	// to another one.
+	Patience service.Duration `json:"heartbeat-patience"`
+	// FlowLimit is the age from which an idle flow may be forgotten.
+	FlowLimit service.Duration `json:"flow-limit"`
+	// Metrics is an HTTP address for metrics; none if empty.
+	Metrics netip.AddrPort `json:"metrics-address,omitempty"`
+}
+
+// Defaults implements settings.Checked.
+func (s *FlowSettings) Defaults() {
+	if s.Patience == 0 {
+		s.Patience = service.Duration(2 * time.Second)
+	}
+	if s.FlowLimit == 0 {
+		s.FlowLimit = service.Duration(time.Minute)
+	}
+}
+
+// Validate implements settings.Checked.
+func (s *FlowSettings) Validate() error {
+	switch {
+	case s.Identity == "":
+		return &settings.FieldError{Field: "identity", Problem: "must not be empty"}
+	case s.FailureDomain == "":
+		return &settings.FieldError{Field: "failure-domain", Problem: "must not be empty"}
+	case s.Service == "":
+		return &settings.FieldError{Field: "service", Problem: "must not be empty"}
+	case s.BalancerPort == 0:
+		return &settings.FieldError{Field: "balancer-port", Problem: "must be a port"}
+	}
+	return settings.FirstError(
+		settings.CheckAddress("tunnel-address", s.Tunnel),
+		settings.CheckAddress("outbound-address", s.Outbound),
+		settings.CheckAddress("upstream-address", s.Upstream),
+		settings.CheckAddress("heartbeat-address", s.Heartbeats),
+		settings.CheckAddress("ready-address", s.Ready),
+		settings.CheckAddress("store-address", s.Store),
+	)
+}
--- /dev/null
+++ b/sidecar/flows.go
@@ -0,0 +1,471 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"greengagedyke/clock"
+	"greengagedyke/flow"
+	"greengagedyke/peer"
+	"greengagedyke/platform"
+	"greengagedyke/registry"
+)
+
+const (
+	// socketBuffer is the number of bytes that may wait in a socket.
+	socketBuffer = 1 << 20
+	// maxDatagram is the largest datagram in bytes.
+	maxDatagram = 4096
+	// overdueInterval is the time between looks at unanswered opening packets.
+	overdueInterval = 20 * time.Millisecond
+	expireInterval  = time.Second
+	// reportInterval is the time between reports to the balancers; with many of them
+	// it grows by reportShare for each.
+	reportInterval = 250 * time.Millisecond
+	reportShare    = 25 * time.Millisecond
+	// leaveDelay is how long a stopped sidecar goes on to forward.
+	leaveDelay = 300 * time.Millisecond
+)
+
+// Flows is a running sidecar of flows that carry no name of their own.
+type Flows struct {
+	cfg      *FlowSettings
+	log      *slog.Logger
+	clock    *clock.Clock
+	tunnel   *net.UDPConn
+	outbound *net.UDPConn
+	known    *registry.Known
+	codec    platform.Packets
+	counters *flowCounters
+	start    uint64
+	// offered is signalled when an opening packet waits for the upstream's answer.
+	offered chan struct{}
+	// changed is signalled when balancers should get a report at once.
+	changed chan struct{}
+
+	mu       sync.Mutex
+	holder   *flow.Holder
+	sequence uint32
+	reported flow.State
+}
+
+type flowCounters struct {
+	reasons [flow.ReasonCount]metrics.Counter
+	refused metrics.Counter
+	failed  metrics.Counter
+	beats   metrics.Counter
+}
+
+func newFlowCounters(r metrics.Registry) *flowCounters {
+	c := &flowCounters{
+		refused: metrics.GetOrRegisterCounter("packets.unreadable", r),
+		failed:  metrics.GetOrRegisterCounter("datagrams.not-sent", r),
+		beats:   metrics.GetOrRegisterCounter("heartbeats.received", r),
+	}
+	for i := range c.reasons {
+		c.reasons[i] = metrics.GetOrRegisterCounter("packets."+flow.Reason(i).String(), r)
+	}
+	return c
+}
+
+// RunFlows runs a sidecar of flows without a name of their own. When ctx ends, it
+// takes no new flows, and ends shortly after, or when abort ends.
+func RunFlows(ctx, abort context.Context, log *slog.Logger, cfg *FlowSettings, r metrics.Registry) error {
+	c := clock.New()
+	gate := flow.NewGate(time.Duration(cfg.Patience))
+	f := &Flows{
+		cfg:      cfg,
+		log:      log,
+		clock:    c,
+		known:    registry.NewKnown(netip.AddrPort{}),
+		counters: newFlowCounters(r),
+		start:    uint64(time.Now().UnixNano()),
+		offered:  make(chan struct{}, 1),
+		changed:  make(chan struct{}, 1),
+		holder:   flow.NewHolder(gate, cfg.Service, time.Duration(cfg.FlowLimit), c.Now()),
+	}
+	return errors.Wrap(f.run(ctx, abort, r), "sidecar.RunFlows")
+}
+
+func (f *Flows) run(ctx, abort context.Context, r metrics.Registry) error {
+	var err error
+	if f.tunnel, err = listenUDP(f.cfg.Tunnel); err != nil {
+		return err
+	}
+	defer f.tunnel.Close()
+	if f.outbound, err = listenUDP(f.cfg.Outbound); err != nil {
+		return err
+	}
+	defer f.outbound.Close()
+	ready, err := net.Listen("tcp4", f.cfg.Ready.String())
+	if err != nil {
+		return err
+	}
+	defer ready.Close()
+	beats, err := net.Listen("tcp4", f.cfg.Heartbeats.String())
+	if err != nil {
+		return err
+	}
+	defer beats.Close()
+	client, closeClient := platform.New(f.cfg.Store, r)
+	defer closeClient()
+	reg := registry.New(f.log, client, f.mention)
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	f.log.Info("sidecar-started", "identity", f.cfg.Identity, "service", f.cfg.Service)
+	f.mention(f.seeds())
+	serveHTTP(life, f.log, ready, platform.ReadyHandler(func() bool { return ctx.Err() == nil }))
+	serveHTTP(life, f.log, beats, platform.HeartbeatHandler(f))
+	wait := startAll(life, end,
+		func(ctx context.Context) { _, _ = reg.Read(ctx) }, // ends with an answer, or with the process
+		f.tick,
+		f.watchOverdue,
+		func(context.Context) { f.readTunnel() },
+		func(context.Context) { f.readOutbound() },
+	)
+	<-ctx.Done()
+	f.leave(abort)
+	f.tunnel.Close()
+	f.outbound.Close()
+	wait()
+	f.log.Info("sidecar-stopped", "identity", f.cfg.Identity)
+	return nil
+}
+
+func listenUDP(addr netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.SetReadBuffer(socketBuffer)
+}
+
+// serveHTTP serves until ctx ends.
+func serveHTTP(ctx context.Context, log *slog.Logger, ln net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	context.AfterFunc(ctx, func() { server.Close() })
+	go func() {
+		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.Error("http-server-failed", "address", ln.Addr().String(), "error", err.Error())
+		}
+	}()
+}
+
+// startAll runs each function in a goroutine and returns a function that ends them
+// and waits.
+func startAll(ctx context.Context, end func(), functions ...func(context.Context)) func() {
+	done := make(chan struct{})
+	for _, run := range functions {
+		go func() {
+			run(ctx)
+			done <- struct{}{}
+		}()
+	}
+	return func() {
+		end()
+		for range functions {
+			<-done
+		}
+	}
+}
+
+func (f *Flows) seeds() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, p := range f.cfg.Peers {
+		list = append(list, netip.AddrPortFrom(p.Addr(), f.cfg.BalancerPort))
+	}
+	return list
+}
+
+func (f *Flows) leave(abort context.Context) {
+	f.log.Info("sidecar-leaving", "identity", f.cfg.Identity)
+	f.mu.Lock()
+	f.holder.Leave()
+	f.mu.Unlock()
+	signal(f.changed)
+	select {
+	case <-abort.Done():
+	case <-time.After(leaveDelay):
+	}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// mention takes in addresses of balancers, and reports to new ones at once.
+func (f *Flows) mention(addrs []netip.AddrPort) {
+	fresh := f.known.Mention(f.clock.Now(), addrs...)
+	if len(fresh) == 0 {
+		return
+	}
+	f.log.Info("balancers-found", "count", len(fresh), "first", fresh[0].String(), "known", len(f.known.List()))
+	signal(f.changed)
+}
+
+// Heartbeat implements platform.Upstreams.
+func (f *Flows) Heartbeat(b flow.Heartbeat) error {
+	f.counters.beats.Inc(1)
+	now := f.clock.Sync()
+	f.mu.Lock()
+	before := f.holder.State(now)
+	outcome := f.holder.Heartbeat(b, now)
+	after := f.holder.State(now)
+	f.mu.Unlock()
+	if outcome != flow.HeartbeatTaken || before != after {
+		f.log.Info("heartbeat", "upstream", b.ID, "outcome", outcome.String(), "says", b.State.String(),
+			"sequence", b.Sequence, "born", b.Born, "state-before", before.String(), "state", after.String())
+	}
+	if before != after {
+		signal(f.changed)
+	}
+	if outcome == flow.HeartbeatFormer {
+		return errors.New("heartbeat of an incarnation that was replaced")
+	}
+	return nil
+}
+
+// End implements platform.Upstreams.
+func (f *Flows) End(id string) {
+	f.mu.Lock()
+	own := f.holder.End(id)
+	f.mu.Unlock()
+	f.log.Info("upstream-ends", "upstream", id, "own", own)
+	signal(f.changed)
+}
+
+// Refuse implements platform.Upstreams.
+func (f *Flows) Refuse(id string, reason error) {
+	f.log.Warn("heartbeat-refused", "upstream", id, "error", reason.Error())
+}
+
+// tick reports to the balancers and forgets old flows until ctx ends.
+func (f *Flows) tick(ctx context.Context) {
+	expired := f.clock.Now()
+	for {
+		interval := max(reportInterval, reportShare*time.Duration(len(f.known.List())))
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.changed:
+		case <-time.After(interval):
+		}
+		now := f.clock.Sync()
+		f.report(now)
+		if now.Sub(expired) < expireInterval {
+			continue
+		}
+		expired = now
+		f.mu.Lock()
+		f.holder.Expire(now)
+		f.mu.Unlock()
+		for _, addr := range f.known.Expire(now) {
+			f.log.Info("balancer-forgotten", "address", addr.String())
+		}
+	}
+}
+
+// report tells all balancers the state and load of the upstream.
+func (f *Flows) report(now time.Time) {
+	f.mu.Lock()
+	f.sequence++
+	l := f.holder.Load(now)
+	l.Start = f.start
+	l.Sequence = f.sequence
+	l.Domain = flow.DomainOf(f.cfg.FailureDomain)
+	changed := l.State != f.reported
+	f.reported = l.State
+	f.mu.Unlock()
+	if changed {
+		f.log.Info("upstream-state", "state", l.State.String(), "busy", l.Busy, "flows", l.Flows)
+	}
+	message := peer.AppendLoad(nil, &l)
+	for _, addr := range f.known.List() {
+		f.send(message, addr)
+	}
+}
+
+func (f *Flows) send(b []byte, to netip.AddrPort) {
+	if _, err := f.tunnel.WriteToUDPAddrPort(b, to); err != nil {
+		f.counters.failed.Inc(1)
+	}
+}
+
+// watchOverdue sends on opening packets that the upstream does not answer, until ctx
+// ends.
+func (f *Flows) watchOverdue(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.offered:
+		}
+		for f.overdue() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(overdueInterval):
+			}
+		}
+	}
+}
+
+// overdue reports whether opening packets still wait.
+func (f *Flows) overdue() bool {
+	now := f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holder.Overdue(now, func(a *flow.Arrival, r flow.Ruling) {
+		f.act(a.Raw, &a.Packet, a, &r, nil)
+	})
+	return f.holder.Pending()
+}
+
+// readTunnel handles what balancers and siblings send until the socket is closed.
+func (f *Flows) readTunnel() {
+	in := make([]byte, maxDatagram)
+	out := make([]byte, 0, maxDatagram+peer.MaxHead)
+	for {
+		n, from, err := f.tunnel.ReadFromUDPAddrPort(in)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			f.counters.failed.Inc(1)
+			continue
+		}
+		if err := f.datagram(in[:n], from, out); err != nil {
+			f.counters.refused.Inc(1)
+		}
+	}
+}
+
+func (f *Flows) datagram(b []byte, from netip.AddrPort, out []byte) error {
+	kind, body, err := peer.KindOf(b)
+	if err != nil {
+		return err
+	}
+	switch kind {
+	case peer.KindPacket:
+		return f.packet(body, out)
+	case peer.KindBalancers:
+		l, err := peer.ParseBalancers(body)
+		if err != nil {
+			return err
+		}
+		f.mention(l.Addrs)
+		return nil
+	default:
+		return peer.ErrForeign
+	}
+}
+
+// packet handles a caller's packet.
+func (f *Flows) packet(body, out []byte) error {
+	var a flow.Arrival
+	raw, err := peer.ParsePacket(body, &a)
+	if err != nil {
+		return err
+	}
+	if err := f.codec.Parse(raw, true, &a.Packet); err != nil {
+		return err
+	}
+	now := f.clock.Now()
+	opening := a.Packet.Opening()
+	if opening {
+		now = f.clock.Sync()
+		a.Raw = append([]byte(nil), raw...)
+	}
+	f.mu.Lock()
+	r := f.holder.FromTunnel(&a, now)
+	pending := f.holder.Pending()
+	f.mu.Unlock()
+	f.act(raw, &a.Packet, &a, &r, out)
+	if pending && opening {
+		signal(f.offered)
+	}
+	return nil
+}
+
+// readOutbound handles what the upstream sends until the socket is closed.
+func (f *Flows) readOutbound() {
+	in := make([]byte, maxDatagram)
+	out := make([]byte, 0, maxDatagram+peer.MaxHead)
+	for {
+		n, _, err := f.outbound.ReadFromUDPAddrPort(in)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			f.counters.failed.Inc(1)
+			continue
+		}
+		f.fromUpstream(in[:n], out)
+	}
+}
+
+func (f *Flows) fromUpstream(raw, out []byte) {
+	var p flow.Packet
+	bounced := f.codec.Bounced(raw)
+	if err := f.codec.Parse(raw, bounced, &p); err != nil {
+		f.counters.refused.Inc(1)
+		return
+	}
+	if bounced {
+		f.codec.Unbounce(raw)
+	}
+	now := f.clock.Now()
+	f.mu.Lock()
+	r := f.holder.FromUpstream(&p, now)
+	f.mu.Unlock()
+	f.act(raw, &p, r.Arrival, &r, out)
+}
+
+// act carries out a decision about a packet.
+func (f *Flows) act(raw []byte, p *flow.Packet, a *flow.Arrival, r *flow.Ruling, out []byte) {
+	f.counters.reasons[r.Reason].Inc(1)
+	var err error
+	switch r.Action {
+	case flow.ActionUpstream:
+		_, err = f.outbound.WriteToUDPAddrPort(raw, f.cfg.Upstream)
+	case flow.ActionCaller:
+		_, err = f.tunnel.WriteToUDPAddrPort(raw, f.callerAddr(p))
+	case flow.ActionReset:
+		_, err = f.tunnel.WriteToUDPAddrPort(f.codec.AppendReset(out, p.Key, p.Ack), f.callerAddr(p))
+	case flow.ActionForward:
+		head := peer.AppendPacket(out, &a.Path, r.Hop, a.Origin, a.Offered)
+		_, err = f.tunnel.WriteToUDPAddrPort(append(head, raw...), r.To)
+	}
+	if err != nil {
+		f.counters.failed.Inc(1)
+	}
+	if r.Tell.IsValid() {
+		f.tell(p.Key, r)
+	}
+	if r.Reason != flow.ReasonKnown {
+		f.log.Info("packet-ruled", "flow", p.Key.String(), "reason", r.Reason.String(), "action", r.Action.String(),
+			"opening", p.Opening(), "hop", r.Hop, "to", r.To.String())
+	}
+}
+
+func (f *Flows) tell(k flow.Key, r *flow.Ruling) {
+	kind := peer.KindHeld
+	if r.Missed {
+		kind = peer.KindMissed
+	}
+	f.send(peer.AppendKey(nil, kind, k), r.Tell)
+}
+
+func (f *Flows) callerAddr(p *flow.Packet) netip.AddrPort {
+	return netip.AddrPortFrom(p.Key.Caller().Addr(), f.cfg.Tunnel.Port())
+}
