--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -111,7 +111,7 @@
 	defer shared.Close()
 	client, closeClient := platform.New(f.cfg.Store, r)
 	defer closeClient()
-	f.source = newConfigurationSource(f.log, client, f.configure)
+	f.source = newConfigurationSource(f.log, client, f.configure, func() int { return len(f.known.List()) })
 	reg := registry.New(f.log, client, f.mention)
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	f.mention(f.seeds())
@@ -216,6 +216,7 @@
 	f.mu.Unlock()
 	if taken {
 		f.log.Info("configuration-in-force", "version", cfg.Version, "routes", len(cfg.Routes))
+		f.tellBalancers()
 	}
 	return taken
 }
@@ -317,8 +318,10 @@
 	}
 	switch v.Action {
 	case flow.ActionForward:
-		out = peer.AppendPacket(out, &v.Path, 0, f.cfg.Tunnel, false)
-		f.send(append(out, b...), v.Path.To)
+		f.forward(&v.Path, b, out)
+		for i := range v.More {
+			f.forward(&v.More[i], b, out)
+		}
 	case flow.ActionReset:
 		reset := f.codec.AppendReset(out, p.Key, p.Ack)
 		caller := netip.AddrPortFrom(p.Key.Caller().Addr(), f.cfg.Packets.Port())
@@ -331,6 +334,11 @@
 	}
 }
 
+func (f *Flows) forward(p *flow.Path, b, out []byte) {
+	out = peer.AppendPacket(out, p, 0, f.cfg.Tunnel, false)
+	f.send(append(out, b...), p.To)
+}
+
 // explain logs a decision with what decided it.
 func (f *Flows) explain(p *flow.Packet, v *flow.Verdict, version uint64, now time.Time) {
 	f.mu.Lock()
--- a/balancer/source.go
+++ b/balancer/source.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// configurationWait is how long a watch of the configuration waits.
-	configurationWait = 25 * time.Second
+	// configurationWait is how long a watch of the configuration waits: a store that
+	// loses its history may leave a watch without an answer. With many balancers it
+	// grows by configurationShare for each, since they tell one another.
+	configurationWait  = 1500 * time.Millisecond
+	configurationShare = 50 * time.Millisecond
 	// configurationPause is the time between reads of a store that fails.
 	configurationPause = 500 * time.Millisecond
 	// behindPatience is how long a peer may have a newer configuration before the
@@ -33,6 +36,8 @@
 	log    *slog.Logger
 	client *platform.Client
 	apply  func(*flow.Configuration) bool
+	// peers is the number of balancers that share the watching.
+	peers func() int
 
 	mu sync.Mutex
 	// data is the newest configuration as the store encodes it.
@@ -44,8 +49,8 @@
 	copying bool
 }
 
-func newConfigurationSource(log *slog.Logger, c *platform.Client, apply func(*flow.Configuration) bool) *configurationSource {
-	return &configurationSource{log: log, client: c, apply: apply}
+func newConfigurationSource(log *slog.Logger, c *platform.Client, apply func(*flow.Configuration) bool, peers func() int) *configurationSource {
+	return &configurationSource{log: log, client: c, apply: apply, peers: peers}
 }
 
 // fresh reports whether an unknown route is known not to exist.
@@ -75,7 +80,8 @@
 	store := platform.NewOperatorConfigurations(s.client)
 	up := true
 	for ctx.Err() == nil {
-		data, err := store.Next(ctx, configurationWait)
+		wait := max(configurationWait, configurationShare*time.Duration(s.peers()))
+		data, err := store.Next(ctx, wait)
 		switch {
 		case err == nil:
 			s.take(data, "store")
--- a/flow/holder.go
+++ b/flow/holder.go
@@ -10,7 +10,7 @@
 	// before a sibling gets it.
 	answerPatience = 60 * time.Millisecond
 	// strangerAge is how long a sidecar remembers that its upstream does not hold a flow.
-	strangerAge = 10 * time.Second
+	strangerAge = 65 * time.Second
 	// closedAge is how long a flow that has ended is kept.
 	closedAge = 3 * time.Second
 	// probeAge is how long after its start a sidecar asks its upstream about flows
@@ -85,9 +85,11 @@
 type Holder struct {
 	gate *Gate
 	tag  Tag
-	// started is when this process started; it knows all flows of upstreams that
-	// started later.
+	// started is when this process started. It knows all flows of an upstream that
+	// started later, which complete says.
 	started     time.Time
+	complete    bool
+	born        time.Time
 	incarnation int
 	flows       map[Key]*held
 	// strangers are flows that the upstream was asked about.
@@ -98,9 +100,11 @@
 	idle      time.Duration
 }
 
-// NewHolder returns the decisions of a sidecar that started now.
-func NewHolder(gate *Gate, service string, idle time.Duration, now time.Time) *Holder {
+// NewHolder returns the decisions of a sidecar that started now on a steady clock, and
+// at born by the time of day of its VM.
+func NewHolder(gate *Gate, service string, idle time.Duration, now, born time.Time) *Holder {
 	return &Holder{
+		born:      born,
 		gate:      gate,
 		tag:       TagOf(service),
 		started:   now,
@@ -113,6 +117,9 @@
 // Heartbeat takes in a heartbeat of the upstream.
 func (h *Holder) Heartbeat(b Heartbeat, now time.Time) HeartbeatOutcome {
 	first := h.gate.Last().ID == ""
+	if first && !b.Born.Before(h.born) {
+		h.complete = true
+	}
 	outcome := h.gate.Heartbeat(b, now)
 	if outcome != HeartbeatStarted {
 		return outcome
@@ -120,7 +127,7 @@
 	h.tag = TagOf(b.Service)
 	if !first {
 		h.incarnation++
-		h.started = now.Add(-probeAge)
+		h.complete = true
 		clear(h.strangers)
 	}
 	return outcome
@@ -258,7 +265,7 @@
 // unknown decides about a packet of a flow that this process does not know. After a
 // start of its own, the upstream may hold it all the same.
 func (h *Holder) unknown(a *Arrival, now time.Time) Ruling {
-	if now.Sub(h.started) > probeAge {
+	if h.complete || now.Sub(h.started) > probeAge {
 		return pass(a, ReasonUnknownFlow)
 	}
 	if s, ok := h.strangers[a.Packet.Key]; ok && now.Sub(s.at) < strangerAge {
--- a/flow/ranking.go
+++ b/flow/ranking.go
@@ -1,6 +1,12 @@
 package flow
 
-import "encoding/binary"
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+)
 
 const (
 	// rankingBuckets is the number of buckets of a ranking, a power of two.
@@ -56,6 +62,30 @@
 	return r.members[r.buckets[hash%rankingBuckets][rank]]
 }
 
+// order returns all members for a flow's hash: first the likely one, then by rank, and
+// the silent ones at the end.
+func (r *ranking) order(hash uint64, likely netip.AddrPort, now time.Time) []netip.AddrPort {
+	seed := mix(hash % rankingBuckets)
+	members := slices.Clone(r.members)
+	class := func(m *Member) int {
+		switch {
+		case m.Addr == likely:
+			return 0
+		case now.Sub(m.Heard) < silentAfter:
+			return 1
+		}
+		return 2
+	}
+	slices.SortFunc(members, func(a, b *Member) int {
+		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(mix(b.seed^seed), mix(a.seed^seed)))
+	})
+	addrs := make([]netip.AddrPort, len(members))
+	for i, m := range members {
+		addrs[i] = m.Addr
+	}
+	return addrs
+}
+
 func memberSeed(m *Member) uint64 {
 	var b [8]byte
 	ip := m.Addr.Addr().As4()
--- a/flow/steering.go
+++ b/flow/steering.go
@@ -84,6 +84,9 @@
 	Action Action
 	Reason Reason
 	Path   Path
+	// More are further paths on which the packet is sent as well: at most one sidecar
+	// of all paths holds the flow.
+	More []Path
 }
 
 const (
@@ -93,7 +96,11 @@
 	// before its sidecar is used last.
 	unansweredAfter = 120 * time.Millisecond
 	// forgetAfter is how long a silent member is kept: it may still hold flows.
-	forgetAfter = 60 * time.Second
+	forgetAfter = 6 * time.Second
+	// searchHops is the number of sidecars on one path of a search, searchPaths the
+	// number of paths that one packet takes.
+	searchHops  = 4
+	searchPaths = 16
 )
 
 // Steering decides for a balancer. It is not safe for concurrent use.
@@ -236,29 +243,8 @@
 	if p.Opening() {
 		return s.place(p, ranks, share.Tag, hash, known, now)
 	}
-	if ok && known.addr.IsValid() && known.tries < 2 {
-		s.flows.put(p.Key, location{addr: known.addr, tries: known.tries + 1}, now)
-		v := s.search(p, ranks, share.Tag, hash, known.tries, now)
-		v.Path.lead(known.addr)
-		return v
-	}
-	s.flows.put(p.Key, location{tries: known.tries + 1}, now)
-	return s.search(p, ranks, share.Tag, hash, known.tries, now)
-}
-
-// lead puts addr first.
-func (p *Path) lead(addr netip.AddrPort) {
-	if p.To == addr {
-		return
-	}
-	next := Path{To: addr, Tag: p.Tag}
-	next.add(p.To)
-	for _, a := range p.Next[:p.N] {
-		if a != addr {
-			next.add(a)
-		}
-	}
-	*p = next
+	s.flows.put(p.Key, location{addr: known.addr, tries: known.tries + 1}, now)
+	return s.search(ranks, share.Tag, hash, known, now)
 }
 
 func withoutRoute(p *Packet) Verdict { return refused(p, ReasonNoRoute) }
@@ -366,28 +352,29 @@
 	return cost
 }
 
-// search sends a packet of an unknown flow along the ranked members. Each try starts
-// further down, in case one of them is dead.
-func (s *Steering) search(p *Packet, ranks *ranking, tag Tag, hash uint64, tries uint8, now time.Time) Verdict {
-	v := Verdict{Action: ActionForward, Reason: ReasonSearch, Path: Path{Tag: tag}}
-	if ranks.depth == 0 {
+// search sends a packet of an unknown flow along all members, on several paths at
+// once, the likely ones first. Each try starts further down, in case one is dead.
+func (s *Steering) search(ranks *ranking, tag Tag, hash uint64, known location, now time.Time) Verdict {
+	order := ranks.order(hash, known.addr, now)
+	if len(order) == 0 {
 		return Verdict{Action: ActionDrop, Reason: ReasonNoMember}
 	}
-	for i := range ranks.depth {
-		m := ranks.at(hash, (i+int(tries))%ranks.depth)
-		if now.Sub(m.Heard) > silentAfter && ranks.depth > 1 && !v.Path.To.IsValid() {
-			continue
-		}
-		if !v.Path.To.IsValid() {
-			v.Path.To = m.Addr
+	if most := searchHops * searchPaths; len(order) > most {
+		from := int(known.tries) * most % len(order)
+		order = append(order[from:], order[:from]...)[:most]
+	}
+	n := (len(order) + searchHops - 1) / searchHops
+	paths := make([]Path, n)
+	for i, addr := range order {
+		p := &paths[i%n]
+		if i < n {
+			p.Tag = tag
+			p.To = addr
 			continue
 		}
-		v.Path.add(m.Addr)
+		p.add(addr)
 	}
-	if !v.Path.To.IsValid() {
-		v.Path.To = ranks.at(hash, int(tries)%ranks.depth).Addr
-	}
-	return v
+	return Verdict{Action: ActionForward, Reason: ReasonSearch, Path: paths[0], More: paths[1:]}
 }
 
 // Addresses returns the addresses of all known sidecars.
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -14,10 +14,10 @@
 
 const (
 	// linesPerSecond and lineBurst bound what one process writes.
-	linesPerSecond = 100
-	lineBurst      = 300
+	linesPerSecond = 500
+	lineBurst      = 1000
 	// queuedLines bounds the lines that wait for the writer.
-	queuedLines = 512
+	queuedLines = 2048
 	// flushInterval is how long lines may wait to be written together.
 	flushInterval = 100 * time.Millisecond
 )
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -19,7 +19,7 @@
 	keepInterval = 3 * time.Second
 	// retryPause is the time between calls to a store that fails.
 	retryPause = 500 * time.Millisecond
-	watchWait  = 25 * time.Second
+	watchWait  = 15 * time.Second
 )
 
 // Store is what the registry needs of the platform's store.
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -90,7 +90,7 @@
 		start:    uint64(time.Now().UnixNano()),
 		offered:  make(chan struct{}, 1),
 		changed:  make(chan struct{}, 1),
-		holder:   flow.NewHolder(gate, cfg.Service, time.Duration(cfg.FlowLimit), c.Now()),
+		holder:   flow.NewHolder(gate, cfg.Service, time.Duration(cfg.FlowLimit), c.Now(), time.Now()),
 	}
 	return errors.Wrap(f.run(ctx, abort, r), "sidecar.RunFlows")
 }
