Keep resets of unknown flows from callers

Ruled out: resets of our own (each is logged). Now a reset from the upstream reaches the caller only for flows held here. TestResetOfAnUnknownFlowIsNotDelivered fails without the change.

--- a/flow/holder.go
+++ b/flow/holder.go
@@ -290,6 +290,10 @@
 	}
 	f, ok := h.flows[p.Key]
 	if !ok || f.incarnation != h.incarnation {
+		if p.Flags.Has(FlagReset) {
+			// An upstream that starts resets packets that it is asked about.
+			return Ruling{Action: ActionDrop, Reason: ReasonNotOurs}
+		}
 		f = &held{first: p.Sequence - 1, answered: true, incarnation: h.incarnation}
 		h.flows[p.Key] = f
 		delete(h.strangers, p.Key)
--- /dev/null
+++ b/flow/holder_test.go
@@ -0,0 +1,228 @@
+package flow
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+var (
+	testCaller  = netip.MustParseAddrPort("100.64.0.7:40001")
+	testService = netip.MustParseAddrPort("198.18.0.1:443")
+	testKey     = NewKey(testCaller, testService)
+	testOrigin  = netip.MustParseAddrPort("10.0.0.1:7720")
+	testSibling = netip.MustParseAddrPort("10.0.0.9:8172")
+)
+
+const testName = "rota-core"
+
+// testHolder returns a sidecar whose upstream is ready, and the time.
+func testHolder(t *testing.T, upstreamBorn time.Duration) (*Holder, time.Time) {
+	t.Helper()
+	now := time.Unix(1000, 0)
+	h := NewHolder(NewGate(2*time.Second), testName, time.Minute, now, now)
+	beat(t, h, Heartbeat{ID: "i-1", Born: now.Add(upstreamBorn), Sequence: 1}, now)
+	return h, now
+}
+
+func beat(t *testing.T, h *Holder, b Heartbeat, now time.Time) {
+	t.Helper()
+	b.Service = testName
+	b.Slots = 2
+	if b.State == StateWaiting {
+		b.State = StateReady
+	}
+	if got := h.Heartbeat(b, now); got != HeartbeatStarted && got != HeartbeatTaken {
+		t.Fatalf("heartbeat: %v", got)
+	}
+}
+
+// arrival is a caller's packet with one sibling left to try.
+func arrival(p Packet) *Arrival {
+	a := &Arrival{Packet: p, Origin: testOrigin, Path: Path{Tag: TagOf(testName)}}
+	a.Packet.Key = testKey
+	a.Packet.FromCaller = true
+	a.Path.add(testSibling)
+	return a
+}
+
+func opening() *Arrival { return arrival(Packet{Flags: FlagOpen, Sequence: 100}) }
+
+func data(ack uint32) *Arrival {
+	return arrival(Packet{Flags: FlagAck, Sequence: 101, Ack: ack, Length: 50})
+}
+
+func fromUpstream(flags Flags, sequence uint32, length int) *Packet {
+	return &Packet{Key: testKey, Flags: flags, Sequence: sequence, Ack: 101, Length: length}
+}
+
+func want(t *testing.T, r Ruling, action Action, reason Reason) {
+	t.Helper()
+	if r.Action != action || r.Reason != reason {
+		t.Errorf("got %v, %v; want %v, %v", r.Action, r.Reason, action, reason)
+	}
+}
+
+// open opens the test flow; the upstream's first sequence number is 500.
+func open(t *testing.T, h *Holder, now time.Time) {
+	t.Helper()
+	want(t, h.FromTunnel(opening(), now), ActionUpstream, ReasonPlaced)
+	r := h.FromUpstream(fromUpstream(FlagOpen|FlagAck, 500, 0), now)
+	want(t, r, ActionCaller, ReasonKnown)
+	if r.Tell != testOrigin {
+		t.Errorf("told %v, want the balancer %v", r.Tell, testOrigin)
+	}
+	want(t, h.FromTunnel(data(501), now), ActionUpstream, ReasonKnown)
+}
+
+func TestOpeningGoesToAReadyUpstream(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	open(t, h, now)
+}
+
+// Two upstreams may have answered; the caller's acknowledgement tells which one holds
+// the flow.
+func TestAcknowledgementOfAnotherUpstreamIsPassedOn(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	open(t, h, now)
+	r := h.FromTunnel(data(501+1<<30), now)
+	want(t, r, ActionForward, ReasonNotOurs)
+	if r.To != testSibling || r.Hop != 1 {
+		t.Errorf("sent to %v, hop %d", r.To, r.Hop)
+	}
+}
+
+func TestLeavingUpstreamKeepsItsFlowsAndGetsNoNewOnes(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	open(t, h, now)
+	beat(t, h, Heartbeat{ID: "i-1", Born: now.Add(time.Second), Sequence: 2, State: StateLeaving}, now)
+	want(t, h.FromTunnel(data(501), now), ActionUpstream, ReasonKnown)
+	a := opening()
+	a.Packet.Key = NewKey(netip.MustParseAddrPort("100.64.0.8:1"), testService)
+	want(t, h.FromTunnel(a, now), ActionForward, ReasonClosed)
+}
+
+// An old heartbeat says that the upstream is ready; the newer one that it leaves holds.
+func TestLateHeartbeatDoesNotReopen(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	born := now.Add(time.Second)
+	beat(t, h, Heartbeat{ID: "i-1", Born: born, Sequence: 7, State: StateLeaving}, now)
+	for _, b := range []Heartbeat{
+		{ID: "i-1", Born: born, Sequence: 6, State: StateReady, Service: testName},
+		{ID: "i-0", Born: born.Add(-time.Hour), Sequence: 99, State: StateReady, Service: testName},
+	} {
+		if got := h.Heartbeat(b, now); got == HeartbeatTaken || got == HeartbeatStarted {
+			t.Errorf("%v was believed: %v", b.ID, got)
+		}
+	}
+	want(t, h.FromTunnel(opening(), now), ActionForward, ReasonClosed)
+}
+
+// An address without heartbeats may belong to another service.
+func TestGateClosesWithoutHeartbeats(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	want(t, h.FromTunnel(opening(), now.Add(2100*time.Millisecond)), ActionForward, ReasonClosed)
+}
+
+func TestPacketForAnotherServiceIsNotDelivered(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	a := opening()
+	a.Path.Tag = TagOf("sheet-render")
+	want(t, h.FromTunnel(a, now), ActionForward, ReasonOtherService)
+}
+
+// Only the first copy of an opening packet that no upstream has seen is refused aloud.
+func TestRefusal(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		copies  uint32
+		offered bool
+		want    Action
+	}{
+		{"first copy", 0, false, ActionReset},
+		{"second copy", 1, false, ActionDrop},
+		{"an upstream may answer", 0, true, ActionDrop},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h, now := testHolder(t, time.Second)
+			a := opening()
+			a.Path.N = 0
+			a.Path.Tag = TagOf("sheet-render")
+			a.Packet.Ack = tt.copies
+			a.Offered = tt.offered
+			want(t, h.FromTunnel(a, now), tt.want, ReasonOtherService)
+		})
+	}
+}
+
+func TestUnansweredOpeningGoesToASibling(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	want(t, h.FromTunnel(opening(), now), ActionUpstream, ReasonPlaced)
+	sent := 0
+	h.Overdue(now.Add(answerPatience+1), func(a *Arrival, r Ruling) {
+		sent++
+		want(t, r, ActionForward, ReasonUnanswered)
+		if !a.Offered {
+			t.Error("the sibling may reset a flow that the upstream may still open")
+		}
+	})
+	if sent != 1 || h.Pending() {
+		t.Errorf("%d sent, pending %v", sent, h.Pending())
+	}
+	want(t, h.FromUpstream(fromUpstream(FlagOpen|FlagAck, 500, 0), now), ActionCaller, ReasonKnown)
+}
+
+func TestBouncedOpeningGoesToASibling(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	h.FromTunnel(opening(), now)
+	p := opening().Packet
+	p.Flags |= FlagBounced
+	want(t, h.FromUpstream(&p, now), ActionForward, ReasonBounced)
+}
+
+// A sidecar that started after its upstream asks it about unknown flows, once each;
+// one that knows all flows does not.
+func TestProbe(t *testing.T) {
+	h, now := testHolder(t, -time.Second)
+	want(t, h.FromTunnel(data(501), now), ActionUpstream, ReasonProbe)
+	p := data(501).Packet
+	p.Flags |= FlagBounced
+	want(t, h.FromUpstream(&p, now), ActionForward, ReasonUnknownFlow)
+	want(t, h.FromTunnel(data(501), now), ActionForward, ReasonUnknownFlow)
+	h, now = testHolder(t, time.Second)
+	want(t, h.FromTunnel(data(501), now), ActionForward, ReasonUnknownFlow)
+}
+
+// An upstream that starts answers a probe with a reset. The flow is open elsewhere.
+func TestResetOfAnUnknownFlowIsNotDelivered(t *testing.T) {
+	h, now := testHolder(t, -time.Second)
+	want(t, h.FromTunnel(data(501), now), ActionUpstream, ReasonProbe)
+	want(t, h.FromUpstream(fromUpstream(FlagReset, 0, 0), now), ActionDrop, ReasonNotOurs)
+}
+
+// After a restart, what the upstream sends shows the flows that it holds.
+func TestFlowIsLearntFromTheUpstream(t *testing.T) {
+	h, now := testHolder(t, -time.Second)
+	want(t, h.FromUpstream(fromUpstream(FlagAck, 900, 10), now), ActionCaller, ReasonKnown)
+	want(t, h.FromTunnel(data(910), now), ActionUpstream, ReasonKnown)
+}
+
+// Flows of an upstream that was replaced are gone; their callers are told at once.
+func TestReplacedUpstreamEndsItsFlows(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	open(t, h, now)
+	beat(t, h, Heartbeat{ID: "i-2", Born: now.Add(time.Minute), Sequence: 1}, now)
+	want(t, h.FromTunnel(data(501), now), ActionReset, ReasonUpstreamLost)
+}
+
+func TestBusyCountsWaitingRequests(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	open(t, h, now)
+	if got := h.Load(now).Busy; got != 1 {
+		t.Errorf("busy %d while a request waits", got)
+	}
+	h.FromUpstream(fromUpstream(FlagAck, 501, 100), now)
+	if got := h.Load(now).Busy; got != 0 {
+		t.Errorf("busy %d after the answer", got)
+	}
+}
