Let requests wait in the sidecar, ordered by objective and priority

Now an upstream has at most its slots and one request more; others wait in the sidecar: those that can meet their objective first, then by priority and age.

--- a/flow/configuration.go
+++ b/flow/configuration.go
@@ -24,12 +24,7 @@
 type Route struct {
 	Name   string
 	Shares []Share
-	// Priority orders routes when there is too much work; 0 is highest.
-	Priority int
-	// Objective is the time in which callers want to be answered.
-	Objective time.Duration
-	// Timeout bounds a request.
-	Timeout time.Duration
+	Terms
 	// Idempotent says that requests may run more than once.
 	Idempotent bool
 }
--- a/flow/holder.go
+++ b/flow/holder.go
@@ -19,6 +19,13 @@
 	// queueAhead is the number of requests that may wait for each slot before opening
 	// packets go to siblings.
 	queueAhead = 1
+	// spareRequests are handed to an upstream beyond its slots, so that none of these
+	// idles while an answer and the next request pass each other.
+	spareRequests = 1
+	// serviceGain is the weight of a new observation of the time for a request.
+	serviceGain = 0.05
+	// defaultService is the time for a request that is assumed at first.
+	defaultService = 20 * time.Millisecond
 	// strangerLimit bounds the flows remembered as not held.
 	strangerLimit = 10_000
 	// ackSlack is added to the bytes sent when acknowledgements are compared.
@@ -36,7 +43,7 @@
 	// Offered says that an upstream may still answer the opening packet: nobody may
 	// reset the flow.
 	Offered bool
-	// Raw are the bytes of an opening packet.
+	// Raw are the bytes of the packet.
 	Raw []byte
 }
 
@@ -66,9 +73,20 @@
 	opening Arrival
 	offered time.Time
 	pending bool
-	// waits is set while a request waits for the first byte of its answer.
+	// waits is set while a request that the upstream has waits for the first byte of
+	// its answer, since begun.
 	waits bool
-	used  time.Time
+	begun time.Time
+	// queued is set while a request waits in the queue.
+	queued bool
+	// copies is the number of opening packets that came before the one that opened
+	// the flow; it counts until the first request.
+	copies uint32
+	terms  Terms
+	// next is the sequence number after the caller's last byte, once it sent any.
+	next uint32
+	data bool
+	used   time.Time
 	// ended holds a bit for each direction that has ended.
 	ended uint8
 	// incarnation counts the upstreams before the one that holds the flow.
@@ -94,10 +112,13 @@
 	flows       map[Key]*held
 	// strangers are flows that the upstream was asked about.
 	strangers map[Key]stranger
-	pending   int
-	busy      int
-	leaving   bool
-	idle      time.Duration
+	queue     Queue
+	// service is the learnt time from a request to the first byte of its answer.
+	service time.Duration
+	pending int
+	busy    int
+	leaving bool
+	idle    time.Duration
 }
 
 // NewHolder returns the decisions of a sidecar that started now on a steady clock, and
@@ -110,6 +131,7 @@
 		started:   now,
 		flows:     map[Key]*held{},
 		strangers: map[Key]stranger{},
+		service:   defaultService,
 		idle:      idle,
 	}
 }
@@ -128,11 +150,22 @@
 	if !first {
 		h.incarnation++
 		h.complete = true
-		clear(h.strangers)
+		h.reset()
 	}
 	return outcome
 }
 
+// reset forgets what an upstream that was replaced was working on.
+func (h *Holder) reset() {
+	clear(h.strangers)
+	h.queue = Queue{}
+	h.busy = 0
+	h.pending = 0
+	for _, f := range h.flows {
+		f.waits, f.queued, f.pending = false, false, false
+	}
+}
+
 // End notes that the upstream with this ID ends.
 func (h *Holder) End(id string) bool { return h.gate.End(id) }
 
@@ -154,7 +187,7 @@
 		Tag:   h.tag,
 		State: h.State(now),
 		Slots: uint16(max(0, min(last.Slots, 1<<16-1))),
-		Busy:  uint16(min(h.busy, 1<<16-1)),
+		Busy:  uint16(min(h.work(), 1<<16-1)),
 		Flows: uint16(min(len(h.flows), 1<<16-1)),
 		Cold:  max(0, last.Cold-h.gate.Age(now)),
 	}
@@ -177,14 +210,96 @@
 	case f.answered && a.Packet.Flags.Has(FlagAck) && !f.covers(a.Packet.Ack):
 		return pass(a, ReasonNotOurs)
 	}
-	h.note(f, &a.Packet, now)
+	f.terms = a.Path.Terms
 	r := Ruling{Action: ActionUpstream, Reason: ReasonKnown}
 	if a.Hop > 0 {
 		r.Tell = a.Origin
 	}
+	if h.holds(f, a, now) {
+		r.Action = ActionHold
+		r.Reason = ReasonQueued
+		return r
+	}
+	h.note(f, &a.Packet, now)
 	return r
 }
 
+// work is the number of requests that the upstream has or that wait for it.
+func (h *Holder) work() int { return h.busy + h.queue.Len() }
+
+// holds puts a packet with data into the queue if it begins or continues a request
+// that has to wait.
+func (h *Holder) holds(f *held, a *Arrival, now time.Time) bool {
+	f.used = now
+	if a.Packet.Length == 0 || f.waits || f.ended != 0 || f.repeats(&a.Packet) && !f.queued {
+		return false
+	}
+	if !f.queued && (h.busy < h.limit() || h.gate.Last().Slots == 0) && h.queue.Len() == 0 {
+		return false
+	}
+	if !h.queue.hold(&a.Packet, a.Raw, f.terms, openingAge(f.copies), now) {
+		return f.queued
+	}
+	f.queued = true
+	f.copies = 0
+	f.advance(&a.Packet)
+	return true
+}
+
+// repeats reports whether a packet carries only bytes that came before.
+func (f *held) repeats(p *Packet) bool {
+	return f.data && int32(p.Sequence+uint32(p.Length)-f.next) <= 0
+}
+
+// advance notes the bytes of a packet.
+func (f *held) advance(p *Packet) {
+	if p.Length > 0 && !f.repeats(p) {
+		f.next = p.Sequence + uint32(p.Length)
+		f.data = true
+	}
+}
+
+// limit is the number of requests that the upstream has at once.
+func (h *Holder) limit() int { return h.gate.Last().Slots + spareRequests }
+
+// openingAge is how long a caller has waited who sent copies of its opening packet.
+func openingAge(copies uint32) time.Duration {
+	switch copies {
+	case 0:
+		return 0
+	case 1:
+		return 200 * time.Millisecond
+	}
+	return 600 * time.Millisecond
+}
+
+// Release hands over the packets of requests that need not wait any longer.
+func (h *Holder) Release(now time.Time, deliver func(raw []byte)) {
+	for h.busy < h.limit() {
+		w := h.queue.next(now, h.service)
+		if w == nil {
+			return
+		}
+		f, ok := h.flows[w.key]
+		if !ok || !f.queued {
+			continue
+		}
+		f.queued = false
+		h.begin(f, now)
+		for _, p := range w.packets {
+			deliver(p.raw)
+		}
+	}
+}
+
+// begin notes that the upstream gets a request.
+func (h *Holder) begin(f *held, now time.Time) {
+	f.waits = true
+	f.begun = now
+	f.copies = 0
+	h.busy++
+}
+
 // covers reports whether an acknowledgement fits what the upstream sent: two upstreams
 // may have answered the same opening packet, with different numbers.
 func (f *held) covers(ack uint32) bool { return ack-f.first-1 <= f.sent+ackSlack }
@@ -192,16 +307,25 @@
 // note follows a flow by a caller's packet.
 func (h *Holder) note(f *held, p *Packet, now time.Time) {
 	f.used = now
-	if p.Length > 0 && !f.waits && f.ended == 0 {
-		f.waits = true
-		h.busy++
+	if p.Length > 0 && !f.waits && f.ended == 0 && !f.repeats(p) {
+		h.begin(f, now)
 	}
+	f.advance(p)
 	if p.Flags.Has(FlagEnd) {
 		f.ended |= 1
 	}
 	if p.Flags.Has(FlagReset) {
 		f.ended |= 3
 		h.settle(f)
+		h.unqueue(p.Key, f)
+	}
+}
+
+// unqueue forgets a request that nobody waits for any longer.
+func (h *Holder) unqueue(k Key, f *held) {
+	if f.queued {
+		f.queued = false
+		h.queue.drop(k)
 	}
 }
 
@@ -249,9 +373,12 @@
 		return pass(a, ReasonBusy)
 	}
 	if ok {
-		h.settle(f)
+		h.forget(a.Packet.Key, f)
+	}
+	h.flows[a.Packet.Key] = &held{
+		opening: *a, offered: now, pending: true, used: now, incarnation: h.incarnation,
+		copies: a.Packet.Copies(), terms: a.Path.Terms,
 	}
-	h.flows[a.Packet.Key] = &held{opening: *a, offered: now, pending: true, used: now, incarnation: h.incarnation}
 	h.pending++
 	return Ruling{Action: ActionUpstream, Reason: ReasonPlaced}
 }
@@ -259,7 +386,7 @@
 // crowded reports whether so much work waits that a sibling may be faster.
 func (h *Holder) crowded() bool {
 	slots := max(1, h.gate.Last().Slots)
-	return h.busy >= slots*(1+queueAhead)
+	return h.work() >= slots*(1+queueAhead)
 }
 
 // unknown decides about a packet of a flow that this process does not know. After a
@@ -314,6 +441,7 @@
 		f.sent = end
 	}
 	if p.Length > 0 || p.Flags.Has(FlagEnd) {
+		h.learn(f, now)
 		h.settle(f)
 	}
 	if p.Flags.Has(FlagEnd) {
@@ -326,6 +454,13 @@
 	return r
 }
 
+// learn takes in how long the upstream took for a request.
+func (h *Holder) learn(f *held, now time.Time) {
+	if f.waits && !f.begun.IsZero() {
+		h.service += time.Duration(serviceGain * float64(now.Sub(f.begun)-h.service))
+	}
+}
+
 // bounced decides about a packet that the upstream returned.
 func (h *Holder) bounced(p *Packet) Ruling {
 	f, ok := h.flows[p.Key]
@@ -365,6 +500,7 @@
 		h.pending--
 	}
 	h.settle(f)
+	h.unqueue(k, f)
 	delete(h.flows, k)
 }
 
@@ -389,6 +525,9 @@
 // Expire forgets flows that have ended or are idle.
 func (h *Holder) Expire(now time.Time) {
 	for k, f := range h.flows {
+		if f.waits && now.Sub(f.begun) > max(f.terms.Timeout, defaultTimeout/2) {
+			h.settle(f)
+		}
 		age := now.Sub(f.used)
 		if f.ended == 3 && age > closedAge || age > h.idle {
 			h.forget(k, f)
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -226,3 +226,74 @@
 		t.Errorf("busy %d after the answer", got)
 	}
 }
+
+// request is a caller's request on a flow of its own, opened before.
+func request(t *testing.T, h *Holder, i int, now time.Time) Ruling {
+	t.Helper()
+	a := opening()
+	a.Packet.Key = keyOf(i)
+	want(t, h.FromTunnel(a, now), ActionUpstream, ReasonPlaced)
+	p := fromUpstream(FlagOpen|FlagAck, 500, 0)
+	p.Key = keyOf(i)
+	want(t, h.FromUpstream(p, now), ActionCaller, ReasonKnown)
+	d := data(501)
+	d.Packet.Key = keyOf(i)
+	d.Raw = []byte{byte(i)}
+	return h.FromTunnel(d, now)
+}
+
+// answer is the first packet of an upstream's answer.
+func answer(h *Holder, i int, now time.Time) {
+	p := fromUpstream(FlagAck, 501, 100)
+	p.Key = keyOf(i)
+	h.FromUpstream(p, now)
+}
+
+// An upstream of two slots gets three requests at once; the others wait for answers.
+func TestRequestsWaitForSlots(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	for i := range 3 {
+		want(t, request(t, h, i, now), ActionUpstream, ReasonKnown)
+	}
+	want(t, request(t, h, 3, now), ActionHold, ReasonQueued)
+	var got []byte
+	deliver := func(raw []byte) { got = append(got, raw...) }
+	h.Release(now, deliver)
+	if got != nil {
+		t.Fatal("released without a free slot")
+	}
+	answer(h, 0, now)
+	h.Release(now, deliver)
+	if len(got) != 1 || got[0] != 3 {
+		t.Errorf("released %v, want request 3", got)
+	}
+	if h.Load(now).Busy != 3 {
+		t.Errorf("busy %d, want 3", h.Load(now).Busy)
+	}
+}
+
+// A request that is sent again after its answer began is not taken for a new one.
+func TestRepeatedBytesAreNoRequest(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	want(t, request(t, h, 0, now), ActionUpstream, ReasonKnown)
+	answer(h, 0, now)
+	d := data(501)
+	d.Packet.Key = keyOf(0)
+	want(t, h.FromTunnel(d, now), ActionUpstream, ReasonKnown)
+	if got := h.Load(now).Busy; got != 0 {
+		t.Errorf("busy %d, want 0", got)
+	}
+}
+
+// What a replaced upstream was working on no longer counts.
+func TestReplacedUpstreamStartsIdle(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	for i := range 4 {
+		request(t, h, i, now)
+	}
+	beat(t, h, Heartbeat{ID: "i-2", Born: now.Add(time.Minute), Sequence: 1}, now)
+	if got := h.Load(now).Busy; got != 0 {
+		t.Errorf("busy %d, want 0", got)
+	}
+	want(t, request(t, h, 9, now), ActionUpstream, ReasonKnown)
+}
--- a/flow/steering.go
+++ b/flow/steering.go
@@ -20,11 +20,13 @@
 	ActionUpstream
 	// ActionCaller sends it to the caller.
 	ActionCaller
+	// ActionHold keeps it until the upstream has room for the request.
+	ActionHold
 )
 
 // String returns the action's name.
 func (a Action) String() string {
-	return [...]string{"drop", "forward", "reset", "upstream", "caller"}[a]
+	return [...]string{"drop", "forward", "reset", "upstream", "caller", "hold"}[a]
 }
 
 // Reason says why an action was taken, for logs and counters.
@@ -48,6 +50,7 @@
 	ReasonNotOurs
 	ReasonProbe
 	ReasonUpstreamLost
+	ReasonQueued
 	reasonCount
 )
 
@@ -58,15 +61,16 @@
 func (r Reason) String() string {
 	names := [...]string{
 		"none", "no-route", "no-upstream", "placed", "placed-again", "known", "search", "unknown-flow",
-		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost",
+		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost", "queued",
 	}
 	return names[r]
 }
 
 // Path says where a packet goes, and whom the receiver may hand it on to.
 type Path struct {
-	To  netip.AddrPort
-	Tag Tag
+	To    netip.AddrPort
+	Tag   Tag
+	Terms Terms
 	// Next are the sidecars to try after To, in order; N of them are set.
 	Next [RankingDepth]netip.AddrPort
 	N    int
@@ -224,11 +228,11 @@
 // Decide decides about a caller's packet.
 func (s *Steering) Decide(p *Packet, now time.Time) Verdict {
 	known, ok := s.flows.get(p.Key)
+	route := s.cfg.Routes[p.Key.Service()]
 	if ok && known.confirmed {
-		return s.toKnown(p, known, now)
+		return s.toKnown(p, known, route, now)
 	}
 	hash := p.Key.Hash()
-	route := s.cfg.Routes[p.Key.Service()]
 	if route == nil {
 		return withoutRoute(p)
 	}
@@ -241,10 +245,10 @@
 		return refused(p, ReasonNoMember)
 	}
 	if p.Opening() {
-		return s.place(p, ranks, share.Tag, hash, known, now)
+		return s.place(p, ranks, Path{Tag: share.Tag, Terms: route.Terms}, hash, known, now)
 	}
 	s.flows.put(p.Key, location{addr: known.addr, tries: known.tries + 1}, now)
-	return s.search(ranks, share.Tag, hash, known, now)
+	return s.search(ranks, Path{Tag: share.Tag, Terms: route.Terms}, hash, known, now)
 }
 
 func withoutRoute(p *Packet) Verdict { return refused(p, ReasonNoRoute) }
@@ -258,16 +262,19 @@
 	return Verdict{Action: ActionDrop, Reason: reason}
 }
 
-func (s *Steering) toKnown(p *Packet, known location, now time.Time) Verdict {
-	tag := Tag(0)
+func (s *Steering) toKnown(p *Packet, known location, route *Route, now time.Time) Verdict {
+	path := Path{To: known.addr}
 	if m, ok := s.members[known.addr]; ok {
-		tag = m.Load.Tag
+		path.Tag = m.Load.Tag
+	}
+	if route != nil {
+		path.Terms = route.Terms
 	}
 	s.flows.put(p.Key, known, now)
 	if p.Flags.Has(FlagReset) {
 		s.flows.remove(p.Key)
 	}
-	return Verdict{Action: ActionForward, Reason: ReasonKnown, Path: Path{To: known.addr, Tag: tag}}
+	return Verdict{Action: ActionForward, Reason: ReasonKnown, Path: path}
 }
 
 // takes reports whether a member may get new flows.
@@ -277,8 +284,8 @@
 
 // place chooses the sidecar for an opening packet. A copy goes to another sidecar
 // than the packet before it, which did not answer.
-func (s *Steering) place(p *Packet, ranks *ranking, tag Tag, hash uint64, known location, now time.Time) Verdict {
-	v := Verdict{Action: ActionForward, Reason: ReasonPlaced, Path: Path{Tag: tag}}
+func (s *Steering) place(p *Packet, ranks *ranking, path Path, hash uint64, known location, now time.Time) Verdict {
+	v := Verdict{Action: ActionForward, Reason: ReasonPlaced, Path: path}
 	if known.addr.IsValid() {
 		v.Reason = ReasonCopy
 		if m, ok := s.members[known.addr]; ok && m.unanswered.IsZero() {
@@ -354,7 +361,7 @@
 
 // search sends a packet of an unknown flow along all members, on several paths at
 // once, the likely ones first. Each try starts further down, in case one is dead.
-func (s *Steering) search(ranks *ranking, tag Tag, hash uint64, known location, now time.Time) Verdict {
+func (s *Steering) search(ranks *ranking, path Path, hash uint64, known location, now time.Time) Verdict {
 	order := ranks.order(hash, known.addr, now)
 	if len(order) == 0 {
 		return Verdict{Action: ActionDrop, Reason: ReasonNoMember}
@@ -368,7 +375,7 @@
 	for i, addr := range order {
 		p := &paths[i%n]
 		if i < n {
-			p.Tag = tag
+			*p = path
 			p.To = addr
 			continue
 		}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"time"
 
@@ -43,9 +44,10 @@
 	// commonSize is the length of magic and kind.
 	commonSize  = 2
 	addressSize = 6
-	// pathSize is the length of hop, number of addresses, offered, tag and origin.
-	pathSize = 3 + 4 + addressSize
-	loadSize = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4
+	// pathSize is the length of hop, number of addresses, offered, tag, terms and origin.
+	pathSize  = 3 + 4 + termsSize + addressSize
+	termsSize = 1 + 2 + 2
+	loadSize  = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4
 	// MaxHead is the largest number of bytes before a packet.
 	MaxHead = commonSize + pathSize + flow.RankingDepth*addressSize
 	// maxBalancers bounds a list of balancers.
@@ -82,6 +84,9 @@
 	}
 	b = append(b, magic, byte(KindPacket), byte(hop), byte(p.N), flags)
 	b = binary.BigEndian.AppendUint32(b, uint32(p.Tag))
+	b = append(b, p.Terms.Priority)
+	b = binary.BigEndian.AppendUint16(b, milliseconds(p.Terms.Objective))
+	b = binary.BigEndian.AppendUint16(b, milliseconds(p.Terms.Timeout))
 	b = appendAddr(b, origin)
 	for i := range p.N {
 		b = appendAddr(b, p.Next[i])
@@ -89,6 +94,10 @@
 	return b
 }
 
+func milliseconds(d time.Duration) uint16 {
+	return uint16(max(0, min(d/time.Millisecond, math.MaxUint16)))
+}
+
 // ParsePacket reads the body of a KindPacket into a, and returns the packet in it.
 func ParsePacket(b []byte, a *flow.Arrival) ([]byte, error) {
 	if len(b) < pathSize {
@@ -101,7 +110,12 @@
 	a.Hop = int(b[0])
 	a.Offered = b[2] == 1
 	a.Path.Tag = flow.Tag(binary.BigEndian.Uint32(b[3:7]))
-	a.Origin = addrFrom(b[7:])
+	a.Path.Terms = flow.Terms{
+		Priority:  b[7],
+		Objective: time.Duration(binary.BigEndian.Uint16(b[8:])) * time.Millisecond,
+		Timeout:   time.Duration(binary.BigEndian.Uint16(b[10:])) * time.Millisecond,
+	}
+	a.Origin = addrFrom(b[12:])
 	a.Path.N = n
 	rest := b[pathSize:]
 	for i := range n {
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -268,6 +269,7 @@
 		expired = now
 		f.mu.Lock()
 		f.holder.Expire(now)
+		f.holder.Release(now, f.toUpstream)
 		f.mu.Unlock()
 		for _, addr := range f.known.Expire(now) {
 			f.log.Info("balancer-forgotten", "address", addr.String())
@@ -381,10 +383,11 @@
 		return err
 	}
 	now := f.clock.Now()
+	a.Raw = raw
 	opening := a.Packet.Opening()
 	if opening {
 		now = f.clock.Sync()
-		a.Raw = append([]byte(nil), raw...)
+		a.Raw = slices.Clone(raw)
 	}
 	f.mu.Lock()
 	r := f.holder.FromTunnel(&a, now)
@@ -427,17 +430,24 @@
 	now := f.clock.Now()
 	f.mu.Lock()
 	r := f.holder.FromUpstream(&p, now)
+	f.holder.Release(now, f.toUpstream)
 	f.mu.Unlock()
 	f.act(raw, &p, r.Arrival, &r, out)
 }
 
+func (f *Flows) toUpstream(raw []byte) {
+	if _, err := f.outbound.WriteToUDPAddrPort(raw, f.cfg.Upstream); err != nil {
+		f.counters.failed.Inc(1)
+	}
+}
+
 // act carries out a decision about a packet.
 func (f *Flows) act(raw []byte, p *flow.Packet, a *flow.Arrival, r *flow.Ruling, out []byte) {
 	f.counters.reasons[r.Reason].Inc(1)
 	var err error
 	switch r.Action {
 	case flow.ActionUpstream:
-		_, err = f.outbound.WriteToUDPAddrPort(raw, f.cfg.Upstream)
+		f.toUpstream(raw)
 	case flow.ActionCaller:
 		_, err = f.tunnel.WriteToUDPAddrPort(raw, f.callerAddr(p))
 	case flow.ActionReset:
