Tell callers of flows that nobody holds; carry open flows without a configuration

Now a search asks all members of the system; if each path says that its sidecars do not hold the flow, and no balancer knows more members, the caller gets a reset and opens a new flow. A silent member, an unanswered question to an upstream or a member that has just joined prevents it.

--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -207,6 +207,7 @@
 	}
 	f.log.Info("balancers-found", "count", len(fresh), "first", fresh[0].String(), "known", len(f.known.List()))
 	f.tellSidecars()
+	f.tellBalancers()
 }
 
 // configure puts a configuration in force unless a newer one is.
@@ -221,12 +222,6 @@
 	return taken
 }
 
-func (f *Flows) version() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.steering.Configuration().Version
-}
-
 // tick does what is due regularly until ctx ends.
 func (f *Flows) tick(ctx context.Context) {
 	t := time.NewTicker(tellInterval)
@@ -256,8 +251,12 @@
 }
 
 func (f *Flows) balancersMessage() []byte {
-	list := append([]netip.AddrPort{f.cfg.Tunnel}, f.known.List()...)
-	return peer.AppendBalancers(nil, &peer.Balancers{Version: f.version(), Addrs: list})
+	f.mu.Lock()
+	l := peer.Balancers{Version: f.steering.Configuration().Version}
+	l.Sidecars, _ = f.steering.Members(f.clock.Now())
+	f.mu.Unlock()
+	l.Addrs = append([]netip.AddrPort{f.cfg.Tunnel}, f.known.List()...)
+	return peer.AppendBalancers(nil, &l)
 }
 
 func (f *Flows) tellBalancers() {
@@ -323,11 +322,7 @@
 			f.forward(&v.More[i], b, out)
 		}
 	case flow.ActionReset:
-		reset := f.codec.AppendReset(out, p.Key, p.Ack)
-		caller := netip.AddrPortFrom(p.Key.Caller().Addr(), f.cfg.Packets.Port())
-		if _, err := f.packets.WriteToUDPAddrPort(reset, caller); err != nil {
-			f.counters.failed.Inc(1)
-		}
+		f.reset(p.Key, p.Ack)
 	}
 	if v.Reason != flow.ReasonKnown {
 		f.explain(&p, &v, version, now)
@@ -379,19 +374,24 @@
 			return err
 		}
 		f.report(from, l)
-	case peer.KindHeld, peer.KindMissed:
-		k, err := peer.ParseKey(body)
+	case peer.KindHeld:
+		k, err := peer.ParseHeld(body)
+		if err != nil {
+			return err
+		}
+		f.located(k, from)
+	case peer.KindMissed:
+		k, search, err := peer.ParseMissed(body)
 		if err != nil {
 			return err
 		}
-		f.located(kind, k, from)
+		f.missed(k, search, from)
 	case peer.KindBalancers:
 		l, err := peer.ParseBalancers(body)
 		if err != nil {
 			return err
 		}
-		f.mention(l.Addrs)
-		f.source.heard(from, l.Version, f.version(), f.clock.Now())
+		f.peer(from, &l)
 	default:
 		return peer.ErrForeign
 	}
@@ -412,12 +412,45 @@
 	}
 }
 
-func (f *Flows) located(kind peer.Kind, k flow.Key, from netip.AddrPort) {
+func (f *Flows) located(k flow.Key, from netip.AddrPort) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if kind == peer.KindHeld {
-		f.steering.Located(k, from, f.clock.Now())
+	f.steering.Located(k, from, f.clock.Now())
+}
+
+// missed tells the caller of a flow that nobody holds any longer.
+func (f *Flows) missed(k flow.Key, search uint8, from netip.AddrPort) {
+	f.mu.Lock()
+	ack, lost := f.steering.Missed(k, from, search, f.clock.Now())
+	members, _ := f.steering.Members(f.clock.Now())
+	f.mu.Unlock()
+	if !lost {
 		return
 	}
-	f.steering.Missed(k, from, f.clock.Now())
+	f.counters.reasons[flow.ReasonLost].Inc(1)
+	f.log.Info("flow-lost", "flow", k.String(), "asked", members, "search", search)
+	f.reset(k, ack)
+}
+
+// reset ends a flow of a caller.
+func (f *Flows) reset(k flow.Key, ack uint32) {
+	caller := netip.AddrPortFrom(k.Caller().Addr(), f.cfg.Packets.Port())
+	if _, err := f.packets.WriteToUDPAddrPort(f.codec.AppendReset(nil, k, ack), caller); err != nil {
+		f.counters.failed.Inc(1)
+	}
+}
+
+// peer takes in what another balancer knows, and answers one that knows less.
+func (f *Flows) peer(from netip.AddrPort, l *peer.Balancers) {
+	f.mention(l.Addrs)
+	now := f.clock.Now()
+	f.mu.Lock()
+	f.steering.PeerMembers(l.Sidecars, now)
+	members, _ := f.steering.Members(now)
+	version := f.steering.Configuration().Version
+	f.mu.Unlock()
+	f.source.heard(from, l.Version, version, now)
+	if l.Sidecars < members {
+		f.send(f.balancersMessage(), from)
+	}
 }
--- a/flow/holder.go
+++ b/flow/holder.go
@@ -13,6 +13,9 @@
 	strangerAge = 65 * time.Second
 	// closedAge is how long a flow that has ended is kept.
 	closedAge = 3 * time.Second
+	// probeInterval is the time between questions about a flow that the upstream does
+	// not answer.
+	probeInterval = time.Second
 	// probeAge is how long after its start a sidecar asks its upstream about flows
 	// that it does not know.
 	probeAge = 65 * time.Second
@@ -58,6 +61,8 @@
 	// it is not.
 	Tell   netip.AddrPort
 	Missed bool
+	// Search is the search that missed.
+	Search uint8
 	// Arrival is the packet's path if it came back from the upstream.
 	Arrival *Arrival
 }
@@ -86,7 +91,7 @@
 	// next is the sequence number after the caller's last byte, once it sent any.
 	next uint32
 	data bool
-	used   time.Time
+	used time.Time
 	// ended holds a bit for each direction that has ended.
 	ended uint8
 	// incarnation counts the upstreams before the one that holds the flow.
@@ -97,6 +102,8 @@
 type stranger struct {
 	at      time.Time
 	arrival Arrival
+	// denied is set once the upstream said that it does not hold the flow.
+	denied bool
 }
 
 // Holder decides for a sidecar. It is not safe for concurrent use.
@@ -345,7 +352,10 @@
 	if a.Packet.Opening() {
 		return Ruling{Action: a.refusal(), Reason: reason}
 	}
-	return Ruling{Action: ActionDrop, Reason: reason, Tell: a.Origin, Missed: true}
+	if a.Path.Unsure {
+		return Ruling{Action: ActionDrop, Reason: reason}
+	}
+	return Ruling{Action: ActionDrop, Reason: reason, Tell: a.Origin, Missed: true, Search: a.Path.Search}
 }
 
 // refusal ends the attempt of a caller at once if no copy of the opening packet was
@@ -395,7 +405,12 @@
 	if h.complete || now.Sub(h.started) > probeAge {
 		return pass(a, ReasonUnknownFlow)
 	}
-	if s, ok := h.strangers[a.Packet.Key]; ok && now.Sub(s.at) < strangerAge {
+	s, ok := h.strangers[a.Packet.Key]
+	if ok && s.denied && now.Sub(s.at) < strangerAge {
+		return pass(a, ReasonUnknownFlow)
+	}
+	if ok && !s.denied && now.Sub(s.at) < probeInterval {
+		a.Path.Unsure = true
 		return pass(a, ReasonUnknownFlow)
 	}
 	h.strangers[a.Packet.Key] = stranger{at: now, arrival: *a}
@@ -490,6 +505,8 @@
 	if !ok || p.Opening() {
 		return Ruling{Action: ActionDrop, Reason: ReasonBounced}
 	}
+	s.denied = true
+	h.strangers[p.Key] = s
 	r := pass(&s.arrival, ReasonUnknownFlow)
 	r.Arrival = &s.arrival
 	return r
--- a/flow/locations.go
+++ b/flow/locations.go
@@ -7,7 +7,7 @@
 
 const (
 	// locationLimit bounds the flows of one generation.
-	locationLimit = 60_000
+	locationLimit = 500_000
 	// locationAge is how long a generation takes new flows.
 	locationAge = 40 * time.Second
 )
@@ -17,8 +17,15 @@
 	addr netip.AddrPort
 	// confirmed is set once a sidecar said that it holds the flow.
 	confirmed bool
-	// tries counts the packets that were sent without a confirmation.
+	// start is the process that confirmed.
+	start uint64
+	// tries counts the searches.
 	tries uint8
+	// asked is the number of paths of the newest search if they reach all members,
+	// missed the number of those that ended without the flow.
+	asked, missed uint8
+	// ack is what the caller acknowledged last when it was searched.
+	ack uint32
 }
 
 // locations is a bounded cache of hints in two generations: what was not used during
@@ -49,6 +56,13 @@
 	l.young[k] = v
 }
 
+// use keeps a location that was used.
+func (l *locations) use(k Key, v location, now time.Time) {
+	if _, ok := l.young[k]; !ok || now.Sub(l.since) > locationAge {
+		l.put(k, v, now)
+	}
+}
+
 func (l *locations) remove(k Key) {
 	delete(l.young, k)
 	delete(l.old, k)
--- a/flow/queue_test.go
+++ b/flow/queue_test.go
@@ -92,7 +92,7 @@
 }
 
 func keyOf(i int) Key {
-	return NewKey(netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 8), byte(i)}), 1), testService)
+	return NewKey(netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64 + byte(i>>16), byte(i >> 8), byte(i)}), 1), testService)
 }
 
 func byPolicy(q *Queue, now time.Time) *waiting { return q.next(now, 20*time.Millisecond) }
--- a/flow/ranking.go
+++ b/flow/ranking.go
@@ -62,11 +62,12 @@
 	return r.members[r.buckets[hash%rankingBuckets][rank]]
 }
 
-// order returns all members for a flow's hash: first the likely one, then by rank, and
-// the silent ones at the end.
-func (r *ranking) order(hash uint64, likely netip.AddrPort, now time.Time) []netip.AddrPort {
+// order returns members for a flow's hash: first the likely one, then by rank, and the
+// silent ones at the end. Of more members than most it returns that many, the others
+// at later tries.
+func (r *ranking) order(hash uint64, likely netip.AddrPort, tries, most int, now time.Time) []netip.AddrPort {
+	members := r.window(hash, tries, most)
 	seed := mix(hash % rankingBuckets)
-	members := slices.Clone(r.members)
 	class := func(m *Member) int {
 		switch {
 		case m.Addr == likely:
@@ -86,6 +87,27 @@
 	return addrs
 }
 
+// window returns at most a number of members: the best ranked ones, and a part of the
+// others that moves with each try.
+func (r *ranking) window(hash uint64, tries, most int) []*Member {
+	if len(r.members) <= most {
+		return slices.Clone(r.members)
+	}
+	members := make([]*Member, 0, most)
+	for rank := range r.depth {
+		members = append(members, r.at(hash, rank))
+	}
+	step := most - r.depth
+	from := int(hash%uint64(len(r.members))) + tries*step
+	for i := range step {
+		m := r.members[(from+i)%len(r.members)]
+		if !slices.Contains(members, m) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 func memberSeed(m *Member) uint64 {
 	var b [8]byte
 	ip := m.Addr.Addr().As4()
--- /dev/null
+++ b/flow/search.go
@@ -0,0 +1,119 @@
+package flow
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// searchHops is the number of sidecars on one path of a search, searchPaths the
+	// number of paths that one packet takes.
+	searchHops  = 4
+	searchPaths = 16
+	// settledAfter is how long no member may have joined before the members of the
+	// system count as known.
+	settledAfter = 300 * time.Millisecond
+	// peerPatience is how long a balancer that has heard no other one waits for one.
+	peerPatience = 1200 * time.Millisecond
+)
+
+// search sends a packet of an unknown flow along all members, on several paths at
+// once: those of the route's service first, then the others, since the route may have
+// led there before. Each try starts further down, in case one is dead.
+func (s *Steering) search(p *Packet, path Path, hash uint64, known location, now time.Time) Verdict {
+	order := s.searchOrder(path.Tag, hash, known, now)
+	if len(order) == 0 {
+		return Verdict{Action: ActionDrop, Reason: ReasonNoMember}
+	}
+	n := (len(order) + searchHops - 1) / searchHops
+	next := location{addr: known.addr, tries: known.tries + 1, ack: p.Ack}
+	if len(order) == len(s.members) {
+		next.asked = uint8(n)
+	}
+	s.flows.put(p.Key, next, now)
+	path.Search = next.tries
+	paths := make([]Path, n)
+	for i, addr := range order {
+		p := &paths[i%n]
+		if i < n {
+			*p = path
+			p.To = addr
+			continue
+		}
+		p.add(addr)
+	}
+	return Verdict{Action: ActionForward, Reason: ReasonSearch, Path: paths[0], More: paths[1:]}
+}
+
+// searchOrder lists the members to ask: first those that serve the tag.
+func (s *Steering) searchOrder(tag Tag, hash uint64, known location, now time.Time) []netip.AddrPort {
+	const most = searchHops * searchPaths
+	tries := int(known.tries)
+	var order []netip.AddrPort
+	if own := s.ranking(tag); own != nil {
+		order = own.order(hash, known.addr, tries, most, now)
+	}
+	if len(s.members) > most {
+		return order
+	}
+	for _, other := range s.tags() {
+		if other != tag {
+			order = append(order, s.ranking(other).order(hash, known.addr, tries, most, now)...)
+		}
+	}
+	return order
+}
+
+// tags lists the services of all members, in order.
+func (s *Steering) tags() []Tag {
+	found := map[Tag]bool{}
+	for _, m := range s.members {
+		found[m.Load.Tag] = true
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+// Missed notes that the sidecars on one path of a search do not hold a flow. It
+// reports whether nobody does: all members were asked and said so, and all members of
+// the system are known. Then the caller may be told, with what it last acknowledged.
+func (s *Steering) Missed(k Key, at netip.AddrPort, search uint8, now time.Time) (ack uint32, lost bool) {
+	v, ok := s.flows.get(k)
+	if !ok {
+		return 0, false
+	}
+	if search == 0 {
+		if v.addr == at {
+			s.flows.put(k, location{tries: v.tries}, now)
+		}
+		return 0, false
+	}
+	if v.confirmed || v.tries != search || v.asked == 0 {
+		return 0, false
+	}
+	v.missed++
+	s.flows.put(k, v, now)
+	if v.missed < v.asked || !s.settled(now) {
+		return 0, false
+	}
+	s.flows.remove(k)
+	return v.ack, true
+}
+
+// PeerMembers notes how many members another balancer knows.
+func (s *Steering) PeerMembers(n int, now time.Time) {
+	if now.Sub(s.peerHeard) > forgetAfter || n > s.peerMembers {
+		s.peerMembers = n
+	}
+	s.peerHeard = now
+}
+
+// settled reports whether all members of the system are known.
+func (s *Steering) settled(now time.Time) bool {
+	since := now.Sub(s.grown)
+	if now.Sub(s.peerHeard) > forgetAfter {
+		return since > peerPatience
+	}
+	return since > settledAfter && len(s.members) >= s.peerMembers
+}
--- a/flow/steering.go
+++ b/flow/steering.go
@@ -51,6 +51,7 @@
 	ReasonProbe
 	ReasonUpstreamLost
 	ReasonQueued
+	ReasonLost
 	reasonCount
 )
 
@@ -61,7 +62,7 @@
 func (r Reason) String() string {
 	names := [...]string{
 		"none", "no-route", "no-upstream", "placed", "placed-again", "known", "search", "unknown-flow",
-		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost", "queued",
+		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost", "queued", "lost",
 	}
 	return names[r]
 }
@@ -71,6 +72,10 @@
 	To    netip.AddrPort
 	Tag   Tag
 	Terms Terms
+	// Search numbers the search for a flow that the packet is part of; 0 if none.
+	Search uint8
+	// Unsure says that a sidecar before could not tell whether it holds the flow.
+	Unsure bool
 	// Next are the sidecars to try after To, in order; N of them are set.
 	Next [RankingDepth]netip.AddrPort
 	N    int
@@ -100,11 +105,7 @@
 	// before its sidecar is used last.
 	unansweredAfter = 120 * time.Millisecond
 	// forgetAfter is how long a silent member is kept: it may still hold flows.
-	forgetAfter = 6 * time.Second
-	// searchHops is the number of sidecars on one path of a search, searchPaths the
-	// number of paths that one packet takes.
-	searchHops  = 4
-	searchPaths = 16
+	forgetAfter = 3 * time.Second
 )
 
 // Steering decides for a balancer. It is not safe for concurrent use.
@@ -112,9 +113,15 @@
 	domain  uint32
 	cfg     *Configuration
 	members map[netip.AddrPort]*Member
-	ranks   map[Tag]*ranking
+	// ranks are the rankings of services, made when they are needed.
+	ranks map[Tag]*ranking
 	// flows are hints, never the truth.
 	flows *locations
+	// grown is when the newest member was found, peerMembers the largest number of
+	// members that another balancer has, and peerHeard when one told its number.
+	grown       time.Time
+	peerMembers int
+	peerHeard   time.Time
 }
 
 // NewSteering returns the decisions of a balancer in a failure domain.
@@ -155,11 +162,16 @@
 	}
 	moved := !ok || m.Load.Tag != l.Tag
 	changed := moved || m.Load.State != l.State
+	if moved {
+		delete(s.ranks, m.Load.Tag)
+		delete(s.ranks, l.Tag)
+	}
 	m.Load = l
 	m.Heard = now
 	m.Sent = 0
-	if moved {
-		s.rank()
+	m.unanswered = time.Time{}
+	if !ok {
+		s.grown = now
 	}
 	return changed
 }
@@ -170,24 +182,29 @@
 	for addr, m := range s.members {
 		if now.Sub(m.Heard) > forgetAfter {
 			delete(s.members, addr)
+			delete(s.ranks, m.Load.Tag)
 			lost = append(lost, addr)
 		}
 	}
-	if lost != nil {
-		s.rank()
-	}
 	return lost
 }
 
-func (s *Steering) rank() {
-	lists := map[Tag][]*Member{}
+// ranking returns the ranking of a service; nil if it has no members.
+func (s *Steering) ranking(tag Tag) *ranking {
+	if r, ok := s.ranks[tag]; ok {
+		return r
+	}
+	var list []*Member
 	for _, m := range s.members {
-		lists[m.Load.Tag] = append(lists[m.Load.Tag], m)
+		if m.Load.Tag == tag {
+			list = append(list, m)
+		}
 	}
-	s.ranks = map[Tag]*ranking{}
-	for tag, list := range lists {
-		s.ranks[tag] = newRanking(list)
+	if list == nil {
+		return nil
 	}
+	s.ranks[tag] = newRanking(list)
+	return s.ranks[tag]
 }
 
 // Members returns the number of members, and of those that take new flows.
@@ -212,27 +229,26 @@
 
 // Located notes that a sidecar holds a flow.
 func (s *Steering) Located(k Key, at netip.AddrPort, now time.Time) {
-	s.flows.put(k, location{addr: at, confirmed: true}, now)
+	v := location{addr: at, confirmed: true}
 	if m, ok := s.members[at]; ok {
 		m.unanswered = time.Time{}
+		v.start = m.Load.Start
 	}
-}
-
-// Missed notes that a sidecar does not hold a flow.
-func (s *Steering) Missed(k Key, at netip.AddrPort, now time.Time) {
-	if v, ok := s.flows.get(k); ok && v.addr == at {
-		s.flows.put(k, location{tries: v.tries + 1}, now)
-	}
+	s.flows.put(k, v, now)
 }
 
 // Decide decides about a caller's packet.
 func (s *Steering) Decide(p *Packet, now time.Time) Verdict {
 	known, ok := s.flows.get(p.Key)
 	route := s.cfg.Routes[p.Key.Service()]
-	if ok && known.confirmed {
+	if ok && known.confirmed && s.holds(&known) {
 		return s.toKnown(p, known, route, now)
 	}
 	hash := p.Key.Hash()
+	if route == nil && s.cfg.Version == 0 && !p.Opening() {
+		// Open flows go on while the store is away, though no configuration is known.
+		return s.search(p, Path{}, hash, known, now)
+	}
 	if route == nil {
 		return withoutRoute(p)
 	}
@@ -240,15 +256,21 @@
 	if share == nil {
 		return withoutRoute(p)
 	}
-	ranks := s.ranks[share.Tag]
+	ranks := s.ranking(share.Tag)
 	if ranks == nil {
 		return refused(p, ReasonNoMember)
 	}
 	if p.Opening() {
 		return s.place(p, ranks, Path{Tag: share.Tag, Terms: route.Terms}, hash, known, now)
 	}
-	s.flows.put(p.Key, location{addr: known.addr, tries: known.tries + 1}, now)
-	return s.search(ranks, Path{Tag: share.Tag, Terms: route.Terms}, hash, known, now)
+	return s.search(p, Path{Tag: share.Tag, Terms: route.Terms}, hash, known, now)
+}
+
+// holds reports whether the process that was said to hold a flow still runs, as far
+// as is known.
+func (s *Steering) holds(known *location) bool {
+	m, ok := s.members[known.addr]
+	return ok && m.Load.Start == known.start
 }
 
 func withoutRoute(p *Packet) Verdict { return refused(p, ReasonNoRoute) }
@@ -270,120 +292,13 @@
 	if route != nil {
 		path.Terms = route.Terms
 	}
-	s.flows.put(p.Key, known, now)
+	s.flows.use(p.Key, known, now)
 	if p.Flags.Has(FlagReset) {
 		s.flows.remove(p.Key)
 	}
 	return Verdict{Action: ActionForward, Reason: ReasonKnown, Path: path}
 }
 
-// takes reports whether a member may get new flows.
-func (m *Member) takes(now time.Time) bool {
-	return m.Load.State == StateReady && now.Sub(m.Heard) < silentAfter
-}
-
-// place chooses the sidecar for an opening packet. A copy goes to another sidecar
-// than the packet before it, which did not answer.
-func (s *Steering) place(p *Packet, ranks *ranking, path Path, hash uint64, known location, now time.Time) Verdict {
-	v := Verdict{Action: ActionForward, Reason: ReasonPlaced, Path: path}
-	if known.addr.IsValid() {
-		v.Reason = ReasonCopy
-		if m, ok := s.members[known.addr]; ok && m.unanswered.IsZero() {
-			m.unanswered = now
-		}
-	}
-	best := s.best(ranks, hash, known.addr, now)
-	if best == nil {
-		return refused(p, ReasonNoMember)
-	}
-	v.Path.To = best.Addr
-	for rank := range ranks.depth {
-		m := ranks.at(hash, rank)
-		if m != best && m.takes(now) {
-			v.Path.add(m.Addr)
-		}
-	}
-	best.Sent++
-	if best.unanswered.IsZero() {
-		best.unanswered = now
-	}
-	s.flows.put(p.Key, location{addr: best.Addr}, now)
-	return v
-}
-
-// best returns the member of the lowest cost among the ranked ones, nil if none takes
-// new flows.
-func (s *Steering) best(ranks *ranking, hash uint64, not netip.AddrPort, now time.Time) *Member {
-	var best, last *Member
-	var lowest float64
-	for rank := range ranks.depth {
-		m := ranks.at(hash, rank)
-		if !m.takes(now) {
-			continue
-		}
-		if m.Addr == not {
-			last = m
-			continue
-		}
-		cost := m.cost(s.domain, now)
-		if best == nil || cost < lowest {
-			best, lowest = m, cost
-		}
-	}
-	if best == nil {
-		return last
-	}
-	return best
-}
-
-// The cost of a member in requests a slot that would be ahead of a new one.
-const (
-	costFlow       = 0.02 // an open flow, idle or not
-	costElsewhere  = 0.8  // another failure domain
-	costCold       = 1.0  // an upstream that is still slow after its start
-	costUnanswered = 10.0
-)
-
-func (m *Member) cost(domain uint32, now time.Time) float64 {
-	slots := float64(max(1, m.Load.Slots))
-	cost := (float64(m.Load.Busy+m.Sent) + costFlow*float64(m.Load.Flows)) / slots
-	if m.Load.Domain != domain {
-		cost += costElsewhere
-	}
-	if m.Load.Cold > now.Sub(m.Heard) {
-		cost += costCold
-	}
-	if !m.unanswered.IsZero() && now.Sub(m.unanswered) > unansweredAfter {
-		cost += costUnanswered
-	}
-	return cost
-}
-
-// search sends a packet of an unknown flow along all members, on several paths at
-// once, the likely ones first. Each try starts further down, in case one is dead.
-func (s *Steering) search(ranks *ranking, path Path, hash uint64, known location, now time.Time) Verdict {
-	order := ranks.order(hash, known.addr, now)
-	if len(order) == 0 {
-		return Verdict{Action: ActionDrop, Reason: ReasonNoMember}
-	}
-	if most := searchHops * searchPaths; len(order) > most {
-		from := int(known.tries) * most % len(order)
-		order = append(order[from:], order[:from]...)[:most]
-	}
-	n := (len(order) + searchHops - 1) / searchHops
-	paths := make([]Path, n)
-	for i, addr := range order {
-		p := &paths[i%n]
-		if i < n {
-			*p = path
-			p.To = addr
-			continue
-		}
-		p.add(addr)
-	}
-	return Verdict{Action: ActionForward, Reason: ReasonSearch, Path: paths[0], More: paths[1:]}
-}
-
 // Addresses returns the addresses of all known sidecars.
 func (s *Steering) Addresses() []netip.AddrPort {
 	list := make([]netip.AddrPort, 0, len(s.members))
--- /dev/null
+++ b/flow/steering_test.go
@@ -0,0 +1,301 @@
+package flow
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const otherName = "sheet-render"
+
+func member(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8172)
+}
+
+// report makes the i-th sidecar known as ready.
+func report(s *Steering, i int, service string, sequence uint32, now time.Time) {
+	s.Report(member(i), Load{Start: 1, Sequence: sequence, Tag: TagOf(service), Domain: DomainOf("a"), State: StateReady, Slots: 2}, now)
+}
+
+func route(service string) *Route {
+	return &Route{Name: "r", Shares: []Share{{Service: service, Tag: TagOf(service), Weight: 1}}, Terms: boards}
+}
+
+// testSteering returns a balancer that knows n sidecars of the test service.
+func testSteering(n int, now time.Time) *Steering {
+	s := NewSteering("a")
+	s.Configure(&Configuration{Version: 1, Routes: map[netip.AddrPort]*Route{testService: route(testName)}})
+	for i := range n {
+		report(s, i, testName, 1, now)
+	}
+	s.PeerMembers(n, now)
+	return s
+}
+
+func openingPacket(copies uint32) *Packet {
+	return &Packet{Key: testKey, FromCaller: true, Flags: FlagOpen, Ack: copies}
+}
+
+func dataPacket() *Packet {
+	return &Packet{Key: testKey, FromCaller: true, Flags: FlagAck, Sequence: 1, Ack: 77, Length: 10}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	s := testSteering(1, time.Unix(0, 0))
+	for _, version := range []uint64{1, 0} {
+		if s.Configure(&Configuration{Version: version}) {
+			t.Errorf("version %d replaced version 1", version)
+		}
+	}
+	if !s.Configure(&Configuration{Version: 9}) {
+		t.Error("version 9 was not taken")
+	}
+}
+
+func TestOpeningWithoutRouteIsRefused(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(2, now)
+	s.Configure(&Configuration{Version: 2})
+	for copies, want := range []Action{ActionReset, ActionDrop} {
+		if v := s.Decide(openingPacket(uint32(copies)), now); v.Action != want || v.Reason != ReasonNoRoute {
+			t.Errorf("copy %d: %v, %v", copies, v.Action, v.Reason)
+		}
+	}
+	if v := s.Decide(dataPacket(), now); v.Action != ActionDrop {
+		t.Errorf("packet of a flow without a route: %v", v.Action)
+	}
+}
+
+// A later copy goes to another sidecar, since the first did not answer.
+func TestCopyGoesElsewhere(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(5, now)
+	first := s.Decide(openingPacket(0), now)
+	second := s.Decide(openingPacket(1), now.Add(200*time.Millisecond))
+	if first.Path.To == second.Path.To || second.Reason != ReasonCopy {
+		t.Errorf("both copies went to %v", first.Path.To)
+	}
+}
+
+func TestLeavingAndSilentSidecarsGetNoNewFlows(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(3, now)
+	now = now.Add(silentAfter)
+	report(s, 1, testName, 2, now)
+	s.Report(member(2), Load{Start: 1, Sequence: 2, Tag: TagOf(testName), State: StateLeaving, Slots: 2}, now)
+	if v := s.Decide(openingPacket(0), now); v.Path.To != member(1) || v.Path.N != 0 {
+		t.Errorf("went to %v with %d alternatives", v.Path.To, v.Path.N)
+	}
+}
+
+func TestOlderReportChangesNothing(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(1, now)
+	s.Report(member(0), Load{Start: 1, Sequence: 5, Tag: TagOf(testName), State: StateLeaving}, now)
+	report(s, 0, testName, 4, now)
+	if m, _ := s.Member(member(0)); m.Load.State != StateLeaving {
+		t.Errorf("state %v after an older report", m.Load.State)
+	}
+}
+
+// asked lists the sidecars on all paths of a verdict.
+func asked(v *Verdict) map[netip.AddrPort]bool {
+	all := map[netip.AddrPort]bool{}
+	for _, p := range append([]Path{v.Path}, v.More...) {
+		all[p.To] = true
+		for _, a := range p.Next[:p.N] {
+			all[a] = true
+		}
+	}
+	return all
+}
+
+// A balancer that knows nothing of a flow asks every sidecar, those of other services
+// too: the route may have led there before.
+func TestSearchReachesEveryMember(t *testing.T) {
+	for _, n := range []int{1, 4, 9, 47} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			now := time.Unix(100, 0)
+			s := testSteering(n, now)
+			report(s, 1000, otherName, 1, now)
+			v := s.Decide(dataPacket(), now)
+			if got := asked(&v); len(got) != n+1 {
+				t.Errorf("asked %d of %d sidecars", len(got), n+1)
+			}
+		})
+	}
+}
+
+// Open flows go on when all processes were killed while the store is away.
+func TestSearchWithoutConfiguration(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := NewSteering("a")
+	report(s, 0, testName, 1, now)
+	if v := s.Decide(dataPacket(), now); v.Action != ActionForward || v.Path.To != member(0) {
+		t.Errorf("%v to %v", v.Action, v.Path.To)
+	}
+	if v := s.Decide(openingPacket(0), now); v.Action == ActionForward {
+		t.Error("a new flow was placed without a configuration")
+	}
+}
+
+// A flow is only given up when every member of the system says that it does not hold it.
+func TestLostFlow(t *testing.T) {
+	const n = 6
+	start := time.Unix(100, 0)
+	later := start.Add(settledAfter + time.Millisecond)
+	for _, tt := range []struct {
+		name    string
+		prepare func(s *Steering)
+		answers int
+		want    bool
+	}{
+		{"all paths missed", func(*Steering) {}, 2, true},
+		{"one path is silent", func(*Steering) {}, 1, false},
+		{"a peer knows more members", func(s *Steering) { s.PeerMembers(n+1, start) }, 2, false},
+		{"a member has just joined", func(s *Steering) { report(s, 99, testName, 1, later) }, 2, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := testSteering(n, start)
+			v := s.Decide(dataPacket(), start)
+			tt.prepare(s)
+			lost := false
+			var ack uint32
+			for i := range tt.answers {
+				ack, lost = s.Missed(testKey, member(i), v.Path.Search, later)
+			}
+			if lost != tt.want || lost && ack != 77 {
+				t.Errorf("lost %v with acknowledgement %d, want %v", lost, ack, tt.want)
+			}
+		})
+	}
+}
+
+// What an earlier search missed does not count for a later one.
+func TestLateMissesDoNotCount(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(6, now)
+	first := s.Decide(dataPacket(), now)
+	second := s.Decide(dataPacket(), now.Add(200*time.Millisecond))
+	now = now.Add(time.Second)
+	s.Missed(testKey, member(0), first.Path.Search, now)
+	if _, lost := s.Missed(testKey, member(1), second.Path.Search, now); lost {
+		t.Error("given up with one path unanswered")
+	}
+}
+
+// A sidecar that restarted is searched for the flow like all others.
+func TestRestartedSidecarIsNotTrusted(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(3, now)
+	s.Located(testKey, member(1), now)
+	if v := s.Decide(dataPacket(), now); v.Reason != ReasonKnown || v.Path.To != member(1) {
+		t.Errorf("%v to %v", v.Reason, v.Path.To)
+	}
+	s.Report(member(1), Load{Start: 2, Sequence: 1, Tag: TagOf(testName), State: StateWaiting}, now)
+	v := s.Decide(dataPacket(), now)
+	if v.Reason != ReasonSearch || v.Path.To != member(1) {
+		t.Errorf("%v first to %v", v.Reason, v.Path.To)
+	}
+}
+
+// Whatever a balancer hears, a packet only goes to members, new flows only to ready
+// members of the route's service, and no flow that a running sidecar confirmed goes
+// elsewhere.
+func TestSteeringInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(100, 0)
+		s := testSteering(0, now)
+		held := map[Key]netip.AddrPort{}
+		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, 9).Draw(t, "member")
+			k := keyOf(rapid.IntRange(0, 5).Draw(t, "flow"))
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				service := rapid.SampledFrom([]string{testName, testName, otherName}).Draw(t, "service")
+				state := rapid.SampledFrom([]State{StateReady, StateReady, StateLeaving, StateWaiting}).Draw(t, "state")
+				s.Report(member(i), Load{Start: 1, Sequence: uint32(step + 1), Tag: TagOf(service), State: state, Slots: 2}, now)
+			case 1:
+				if _, ok := s.Member(member(i)); ok {
+					s.Located(k, member(i), now)
+					held[k] = member(i)
+				}
+			case 2:
+				lost := s.Expire(now)
+				maps.DeleteFunc(held, func(_ Key, at netip.AddrPort) bool { return slices.Contains(lost, at) })
+			case 3:
+				p := dataPacket()
+				if rapid.Bool().Draw(t, "opening") {
+					p = openingPacket(0)
+				}
+				p.Key = k
+				checkVerdict(t, s, p, held, now)
+			}
+		}
+	})
+}
+
+func checkVerdict(t *rapid.T, s *Steering, p *Packet, held map[Key]netip.AddrPort, now time.Time) {
+	v := s.Decide(p, now)
+	at, known := held[p.Key]
+	if m, ok := s.Member(at); known && ok && m.Load.Start == 1 && (v.Action != ActionForward || v.Path.To != at) {
+		t.Fatalf("flow held at %v: %v to %v", at, v.Action, v.Path.To)
+	}
+	if v.Action != ActionForward {
+		return
+	}
+	for a := range asked(&v) {
+		m, ok := s.Member(a)
+		if !ok {
+			t.Fatalf("sent to %v, which is no member", a)
+		}
+		if v.Reason == ReasonPlaced && (m.Load.State != StateReady || m.Load.Tag != TagOf(testName)) {
+			t.Fatalf("new flow to %v, %v", a, m.Load.State)
+		}
+	}
+}
+
+func benchmarkDecide(b *testing.B, members, flows int) {
+	now := time.Unix(100, 0)
+	s := testSteering(members, now)
+	for i := range flows {
+		s.flows.put(keyOf(i), location{addr: member(i % members), confirmed: true, start: 1}, now)
+	}
+	p := dataPacket()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		p.Key = keyOf(i % flows)
+		s.Decide(p, now)
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, size := range [][2]int{{7, 10}, {7, 40_000}, {7, 400_000}, {3200, 10}, {3200, 400_000}} {
+		b.Run(fmt.Sprintf("members=%d/flows=%d", size[0], size[1]), func(b *testing.B) {
+			benchmarkDecide(b, size[0], size[1])
+		})
+	}
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, members := range []int{7, 3200} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			now := time.Unix(100, 0)
+			s := testSteering(members, now)
+			p := openingPacket(0)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				p.Key = keyOf(i % 40_000)
+				s.Decide(p, now)
+			}
+		})
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -41,13 +41,19 @@
 
 const (
 	magic = 0xd7
+	// flagOffered and flagUnsure are the flags of a packet's head.
+	flagOffered = 1
+	flagUnsure  = 2
 	// commonSize is the length of magic and kind.
 	commonSize  = 2
 	addressSize = 6
-	// pathSize is the length of hop, number of addresses, offered, tag, terms and origin.
-	pathSize  = 3 + 4 + termsSize + addressSize
+	// pathSize is the length of hop, number of addresses, flags, search, tag, terms and
+	// origin.
+	pathSize  = 4 + 4 + termsSize + addressSize
 	termsSize = 1 + 2 + 2
 	loadSize  = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4
+	// balancersSize is the length of a list of balancers without their addresses.
+	balancersSize = 8 + 4
 	// MaxHead is the largest number of bytes before a packet.
 	MaxHead = commonSize + pathSize + flow.RankingDepth*addressSize
 	// maxBalancers bounds a list of balancers.
@@ -80,9 +86,12 @@
 func AppendPacket(b []byte, p *flow.Path, hop int, origin netip.AddrPort, offered bool) []byte {
 	flags := byte(0)
 	if offered {
-		flags = 1
+		flags |= flagOffered
 	}
-	b = append(b, magic, byte(KindPacket), byte(hop), byte(p.N), flags)
+	if p.Unsure {
+		flags |= flagUnsure
+	}
+	b = append(b, magic, byte(KindPacket), byte(hop), byte(p.N), flags, p.Search)
 	b = binary.BigEndian.AppendUint32(b, uint32(p.Tag))
 	b = append(b, p.Terms.Priority)
 	b = binary.BigEndian.AppendUint16(b, milliseconds(p.Terms.Objective))
@@ -108,14 +117,16 @@
 		return nil, ErrTruncated
 	}
 	a.Hop = int(b[0])
-	a.Offered = b[2] == 1
-	a.Path.Tag = flow.Tag(binary.BigEndian.Uint32(b[3:7]))
+	a.Offered = b[2]&flagOffered != 0
+	a.Path.Unsure = b[2]&flagUnsure != 0
+	a.Path.Search = b[3]
+	a.Path.Tag = flow.Tag(binary.BigEndian.Uint32(b[4:8]))
 	a.Path.Terms = flow.Terms{
-		Priority:  b[7],
-		Objective: time.Duration(binary.BigEndian.Uint16(b[8:])) * time.Millisecond,
-		Timeout:   time.Duration(binary.BigEndian.Uint16(b[10:])) * time.Millisecond,
+		Priority:  b[8],
+		Objective: time.Duration(binary.BigEndian.Uint16(b[9:])) * time.Millisecond,
+		Timeout:   time.Duration(binary.BigEndian.Uint16(b[11:])) * time.Millisecond,
 	}
-	a.Origin = addrFrom(b[12:])
+	a.Origin = addrFrom(b[13:])
 	a.Path.N = n
 	rest := b[pathSize:]
 	for i := range n {
@@ -156,30 +167,46 @@
 	}, nil
 }
 
-// AppendKey appends a datagram of the kinds KindHeld and KindMissed.
-func AppendKey(b []byte, kind Kind, k flow.Key) []byte {
-	return k.AppendBinary(append(b, magic, byte(kind)))
+// AppendHeld appends a datagram that says that the sender holds a flow.
+func AppendHeld(b []byte, k flow.Key) []byte {
+	return k.AppendBinary(append(b, magic, byte(KindHeld)))
 }
 
-// ParseKey reads the body of a KindHeld or KindMissed.
-func ParseKey(b []byte) (flow.Key, error) {
+// ParseHeld reads the body of a KindHeld.
+func ParseHeld(b []byte) (flow.Key, error) {
 	if len(b) < flow.KeySize {
 		return flow.Key{}, ErrTruncated
 	}
 	return flow.KeyFromBinary(b), nil
 }
 
-// Balancers lists the balancers that the sender knows, and the version of the
-// configuration that it has in force.
+// AppendMissed appends a datagram that says that neither the sender nor the sidecars
+// before it on the path of a search hold a flow.
+func AppendMissed(b []byte, k flow.Key, search uint8) []byte {
+	return k.AppendBinary(append(b, magic, byte(KindMissed), search))
+}
+
+// ParseMissed reads the body of a KindMissed.
+func ParseMissed(b []byte) (flow.Key, uint8, error) {
+	if len(b) < 1+flow.KeySize {
+		return flow.Key{}, 0, ErrTruncated
+	}
+	return flow.KeyFromBinary(b[1:]), b[0], nil
+}
+
+// Balancers lists the balancers that the sender knows, the version of the
+// configuration that it has in force, and the number of sidecars that it knows.
 type Balancers struct {
-	Version uint64
-	Addrs   []netip.AddrPort
+	Version  uint64
+	Sidecars int
+	Addrs    []netip.AddrPort
 }
 
 // AppendBalancers appends a list of balancers; a longer one than fits is cut.
 func AppendBalancers(b []byte, l *Balancers) []byte {
 	b = append(b, magic, byte(KindBalancers))
 	b = binary.BigEndian.AppendUint64(b, l.Version)
+	b = binary.BigEndian.AppendUint32(b, uint32(l.Sidecars))
 	for _, a := range l.Addrs[:min(len(l.Addrs), maxBalancers)] {
 		b = appendAddr(b, a)
 	}
@@ -188,11 +215,11 @@
 
 // ParseBalancers reads the body of a KindBalancers.
 func ParseBalancers(b []byte) (Balancers, error) {
-	if len(b) < 8 || (len(b)-8)%addressSize != 0 {
+	if len(b) < balancersSize || (len(b)-balancersSize)%addressSize != 0 {
 		return Balancers{}, ErrTruncated
 	}
-	l := Balancers{Version: binary.BigEndian.Uint64(b)}
-	for rest := b[8:]; len(rest) > 0; rest = rest[addressSize:] {
+	l := Balancers{Version: binary.BigEndian.Uint64(b), Sidecars: int(binary.BigEndian.Uint32(b[8:]))}
+	for rest := b[balancersSize:]; len(rest) > 0; rest = rest[addressSize:] {
 		l.Addrs = append(l.Addrs, addrFrom(rest))
 	}
 	return l, nil
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -469,11 +469,11 @@
 }
 
 func (f *Flows) tell(k flow.Key, r *flow.Ruling) {
-	kind := peer.KindHeld
 	if r.Missed {
-		kind = peer.KindMissed
+		f.send(peer.AppendMissed(nil, k, r.Search), r.Tell)
+		return
 	}
-	f.send(peer.AppendKey(nil, kind, k), r.Tell)
+	f.send(peer.AppendHeld(nil, k), r.Tell)
 }
 
 func (f *Flows) callerAddr(p *flow.Packet) netip.AddrPort {
