Accept acknowledgements of bytes from before a sidecar's restart

Now earlier bytes are covered for flows that were learnt, and a sidecar that knows a flow of the same name never counts as one that misses it. Both tests fail without the change.

--- a/flow/holder.go
+++ b/flow/holder.go
@@ -72,6 +72,8 @@
 	// first is the upstream's first sequence number, once it answered.
 	first    uint32
 	answered bool
+	// learnt is set if this process did not see the opening of the flow.
+	learnt bool
 	// sent is the distance from first to the end of what the upstream sent.
 	sent uint32
 	// opening is the newest opening packet until it is answered.
@@ -215,6 +217,7 @@
 	case f.incarnation != h.incarnation:
 		return h.orphan(a)
 	case f.answered && a.Packet.Flags.Has(FlagAck) && !f.covers(a.Packet.Ack):
+		a.Path.Unsure = true
 		return pass(a, ReasonNotOurs)
 	}
 	f.terms = a.Path.Terms
@@ -308,8 +311,15 @@
 }
 
 // covers reports whether an acknowledgement fits what the upstream sent: two upstreams
-// may have answered the same opening packet, with different numbers.
-func (f *held) covers(ack uint32) bool { return ack-f.first-1 <= f.sent+ackSlack }
+// may have answered the same opening packet, with different numbers. Of a flow that was
+// learnt later, earlier bytes may be acknowledged as well.
+func (f *held) covers(ack uint32) bool {
+	before := uint32(0)
+	if f.learnt {
+		before = ackSlack
+	}
+	return ack-f.first-1+before <= f.sent+before+ackSlack
+}
 
 // note follows a flow by a caller's packet.
 func (h *Holder) note(f *held, p *Packet, now time.Time) {
@@ -352,7 +362,7 @@
 	if a.Packet.Opening() {
 		return Ruling{Action: a.refusal(), Reason: reason}
 	}
-	if a.Path.Unsure {
+	if a.Path.Unsure && a.Path.Search != 0 {
 		return Ruling{Action: ActionDrop, Reason: reason}
 	}
 	return Ruling{Action: ActionDrop, Reason: reason, Tell: a.Origin, Missed: true, Search: a.Path.Search}
@@ -436,7 +446,7 @@
 			// An upstream that starts resets packets that it is asked about.
 			return Ruling{Action: ActionDrop, Reason: ReasonNotOurs}
 		}
-		f = &held{first: p.Sequence - 1, answered: true, incarnation: h.incarnation}
+		f = &held{first: p.Sequence - 1, answered: true, learnt: true, incarnation: h.incarnation}
 		h.flows[p.Key] = f
 		delete(h.strangers, p.Key)
 	}
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -207,6 +207,29 @@
 	want(t, h.FromTunnel(data(910), now), ActionUpstream, ReasonKnown)
 }
 
+// The first packet that a restarted sidecar sees may be a later one than those that
+// the caller acknowledges next.
+func TestLearntFlowCoversEarlierBytes(t *testing.T) {
+	h, now := testHolder(t, -time.Second)
+	h.FromUpstream(fromUpstream(FlagAck, 2100, 1200), now)
+	want(t, h.FromTunnel(data(900), now), ActionUpstream, ReasonKnown)
+	want(t, h.FromTunnel(data(900+1<<30), now), ActionForward, ReasonNotOurs)
+}
+
+// A sidecar that knows a flow of the same name never helps to give it up.
+func TestDoubtfulFlowIsNotReportedMissed(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	open(t, h, now)
+	a := data(501 + 1<<30)
+	a.Path.N = 0
+	a.Path.Search = 1
+	r := h.FromTunnel(a, now)
+	want(t, r, ActionDrop, ReasonNotOurs)
+	if r.Missed {
+		t.Error("reported as missed")
+	}
+}
+
 // Flows of an upstream that was replaced are gone; their callers are told at once.
 func TestReplacedUpstreamEndsItsFlows(t *testing.T) {
 	h, now := testHolder(t, time.Second)
