--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"greengagedyke/clock"
+	"greengagedyke/daemon"
 	"greengagedyke/flow"
 	"greengagedyke/peer"
 	"greengagedyke/platform"
@@ -21,10 +21,6 @@
 )
 
 const (
-	// socketBuffer is the number of bytes that may wait in a socket.
-	socketBuffer = 1 << 20
-	// maxDatagram is the largest datagram in bytes.
-	maxDatagram = 4096
 	// tellInterval is the time between lists of balancers to other balancers.
 	tellInterval = time.Second
 	// tellEvery is the number of reports of a sidecar between lists to it.
@@ -46,7 +42,7 @@
 	tunnel   *net.UDPConn
 	known    *registry.Known
 	codec    platform.Packets
-	counters *flowCounters
+	counters *daemon.Counters
 	leaving  atomic.Bool
 	source   *configurationSource
 
@@ -54,27 +50,6 @@
 	steering *flow.Steering
 }
 
-type flowCounters struct {
-	reasons  [flow.ReasonCount]metrics.Counter
-	received metrics.Counter
-	refused  metrics.Counter
-	reports  metrics.Counter
-	failed   metrics.Counter
-}
-
-func newFlowCounters(r metrics.Registry) *flowCounters {
-	c := &flowCounters{
-		received: metrics.GetOrRegisterCounter("packets.received", r),
-		refused:  metrics.GetOrRegisterCounter("packets.unreadable", r),
-		reports:  metrics.GetOrRegisterCounter("reports.received", r),
-		failed:   metrics.GetOrRegisterCounter("datagrams.not-sent", r),
-	}
-	for i := range c.reasons {
-		c.reasons[i] = metrics.GetOrRegisterCounter("packets."+flow.Reason(i).String(), r)
-	}
-	return c
-}
-
 // RunFlows runs a balancer of flows without a name of their own. When ctx ends, it
 // tells the routers to go elsewhere and forwards until they do, or until abort ends.
 func RunFlows(ctx, abort context.Context, log *slog.Logger, cfg *FlowSettings, r metrics.Registry) error {
@@ -83,22 +58,18 @@
 		log:      log,
 		clock:    clock.New(),
 		known:    registry.NewKnown(cfg.Tunnel),
-		counters: newFlowCounters(r),
+		counters: daemon.NewCounters(r),
 		steering: flow.NewSteering(cfg.FailureDomain),
 	}
 	return errors.Wrap(f.run(ctx, abort, r), "balancer.RunFlows")
 }
 
 func (f *Flows) run(ctx, abort context.Context, r metrics.Registry) error {
-	var err error
-	if f.packets, err = listenUDP(f.cfg.Packets); err != nil {
-		return err
-	}
-	defer f.packets.Close()
-	if f.tunnel, err = listenUDP(f.cfg.Tunnel); err != nil {
+	closeSockets, err := f.listen()
+	if err != nil {
 		return err
 	}
-	defer f.tunnel.Close()
+	defer closeSockets()
 	ready, err := net.Listen("tcp4", f.cfg.Ready.String())
 	if err != nil {
 		return err
@@ -114,10 +85,10 @@
 	f.source = newConfigurationSource(f.log, client, f.configure, func() int { return len(f.known.List()) })
 	reg := registry.New(f.log, client, f.mention)
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
-	f.mention(f.seeds())
+	f.mention(daemon.Tunnels(f.cfg.Peers, f.cfg.Tunnel.Port()))
 	f.log.Info("balancer-started", "identity", f.cfg.Identity, "failure-domain", f.cfg.FailureDomain)
-	serveHTTP(life, f.log, ready, platform.ReadyHandler(f.ready))
-	wait := startAll(life, end,
+	daemon.ServeHTTP(life, f.log, ready, platform.ReadyHandler(f.ready))
+	wait := daemon.StartAll(life, end,
 		f.source.watch,
 		func(ctx context.Context) { f.source.serve(ctx, shared) },
 		func(ctx context.Context) { reg.Keep(ctx, f.cfg.Tunnel) },
@@ -128,57 +99,26 @@
 	)
 	<-ctx.Done()
 	f.leave(abort)
-	f.packets.Close()
-	f.tunnel.Close()
+	closeSockets()
 	wait()
 	f.log.Info("balancer-stopped", "identity", f.cfg.Identity)
 	return nil
 }
 
-func listenUDP(addr netip.AddrPort) (*net.UDPConn, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
-	if err != nil {
+// listen opens the sockets for packets and returns what closes them.
+func (f *Flows) listen() (func(), error) {
+	var err error
+	if f.packets, err = daemon.ListenUDP(f.cfg.Packets); err != nil {
 		return nil, err
 	}
-	return conn, conn.SetReadBuffer(socketBuffer)
-}
-
-// serveHTTP serves until ctx ends.
-func serveHTTP(ctx context.Context, log *slog.Logger, ln net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	context.AfterFunc(ctx, func() { server.Close() })
-	go func() {
-		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			log.Error("http-server-failed", "address", ln.Addr().String(), "error", err.Error())
-		}
-	}()
-}
-
-// startAll runs each function in a goroutine and returns a function that ends them
-// and waits.
-func startAll(ctx context.Context, end func(), functions ...func(context.Context)) func() {
-	done := make(chan struct{})
-	for _, run := range functions {
-		go func() {
-			run(ctx)
-			done <- struct{}{}
-		}()
+	if f.tunnel, err = daemon.ListenUDP(f.cfg.Tunnel); err != nil {
+		f.packets.Close()
+		return nil, err
 	}
 	return func() {
-		end()
-		for range functions {
-			<-done
-		}
-	}
-}
-
-// seeds are the tunnels of the peers in the settings.
-func (f *Flows) seeds() []netip.AddrPort {
-	var list []netip.AddrPort
-	for _, p := range f.cfg.Peers {
-		list = append(list, netip.AddrPortFrom(p.Addr(), f.cfg.Tunnel.Port()))
-	}
-	return list
+		f.packets.Close()
+		f.tunnel.Close()
+	}, nil
 }
 
 // leave forwards until the routers have chosen other balancers.
@@ -278,32 +218,23 @@
 
 func (f *Flows) send(b []byte, to netip.AddrPort) {
 	if _, err := f.tunnel.WriteToUDPAddrPort(b, to); err != nil {
-		f.counters.failed.Inc(1)
+		f.counters.NotSent.Inc(1)
 	}
 }
 
 // readPackets forwards callers' packets until the socket is closed.
 func (f *Flows) readPackets() {
-	in := make([]byte, maxDatagram)
-	out := make([]byte, 0, maxDatagram+peer.MaxHead)
-	for {
-		n, _, err := f.packets.ReadFromUDPAddrPort(in)
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			f.counters.failed.Inc(1)
-			continue
-		}
-		f.counters.received.Inc(1)
-		f.packet(in[:n], out)
-	}
+	out := make([]byte, 0, daemon.MaxDatagram+peer.MaxHead)
+	daemon.ReadUDP(f.packets, f.counters.NotSent, func(b []byte, _ netip.AddrPort) {
+		f.counters.Received.Inc(1)
+		f.packet(b, out)
+	})
 }
 
 func (f *Flows) packet(b, out []byte) {
 	var p flow.Packet
 	if err := f.codec.Parse(b, true, &p); err != nil {
-		f.counters.refused.Inc(1)
+		f.counters.Unreadable.Inc(1)
 		return
 	}
 	now := f.clock.Now()
@@ -311,7 +242,7 @@
 	v := f.steering.Decide(&p, now)
 	version := f.steering.Configuration().Version
 	f.mu.Unlock()
-	f.counters.reasons[v.Reason].Inc(1)
+	f.counters.Reasons[v.Reason].Inc(1)
 	if v.Action == flow.ActionReset && v.Reason == flow.ReasonNoRoute && !f.source.fresh(now) {
 		v.Action = flow.ActionDrop
 	}
@@ -346,20 +277,11 @@
 
 // readTunnel takes in what sidecars and balancers say until the socket is closed.
 func (f *Flows) readTunnel() {
-	in := make([]byte, maxDatagram)
-	for {
-		n, from, err := f.tunnel.ReadFromUDPAddrPort(in)
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			f.counters.failed.Inc(1)
-			continue
-		}
-		if err := f.datagram(in[:n], from); err != nil {
-			f.counters.refused.Inc(1)
+	daemon.ReadUDP(f.tunnel, f.counters.NotSent, func(b []byte, from netip.AddrPort) {
+		if err := f.datagram(b, from); err != nil {
+			f.counters.Unreadable.Inc(1)
 		}
-	}
+	})
 }
 
 func (f *Flows) datagram(b []byte, from netip.AddrPort) error {
@@ -399,7 +321,7 @@
 }
 
 func (f *Flows) report(from netip.AddrPort, l flow.Load) {
-	f.counters.reports.Inc(1)
+	f.counters.Reports.Inc(1)
 	f.mu.Lock()
 	changed := f.steering.Report(from, l, f.clock.Now())
 	f.mu.Unlock()
@@ -428,7 +350,7 @@
 	if !lost {
 		return
 	}
-	f.counters.reasons[flow.ReasonLost].Inc(1)
+	f.counters.Reasons[flow.ReasonLost].Inc(1)
 	f.log.Info("flow-lost", "flow", k.String(), "asked", members, "search", search)
 	f.reset(k, ack)
 }
@@ -437,7 +359,7 @@
 func (f *Flows) reset(k flow.Key, ack uint32) {
 	caller := netip.AddrPortFrom(k.Caller().Addr(), f.cfg.Packets.Port())
 	if _, err := f.packets.WriteToUDPAddrPort(f.codec.AppendReset(nil, k, ack), caller); err != nil {
-		f.counters.failed.Inc(1)
+		f.counters.NotSent.Inc(1)
 	}
 }
 
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,119 @@
+// Package daemon holds what the long-running processes of the system share: sockets,
+// HTTP servers, and goroutines that end together.
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"greengagedyke/flow"
+)
+
+const (
+	// MaxDatagram is the largest datagram in bytes.
+	MaxDatagram = 4096
+	// socketBuffer is the number of bytes that may wait in a socket.
+	socketBuffer      = 1 << 20
+	readHeaderTimeout = 5 * time.Second
+)
+
+// ListenUDP opens a UDP socket with room for bursts.
+func ListenUDP(addr netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, errors.Wrap(err, "daemon.ListenUDP")
+	}
+	if err := conn.SetReadBuffer(socketBuffer); err != nil {
+		conn.Close()
+		return nil, errors.Wrap(err, "daemon.ListenUDP")
+	}
+	return conn, nil
+}
+
+// ReadUDP hands each datagram to handle until the socket is closed. The bytes are only
+// valid during the call.
+func ReadUDP(conn *net.UDPConn, failed metrics.Counter, handle func(b []byte, from netip.AddrPort)) {
+	in := make([]byte, MaxDatagram)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(in)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			failed.Inc(1)
+		default:
+			handle(in[:n], from)
+		}
+	}
+}
+
+// ServeHTTP serves until ctx ends.
+func ServeHTTP(ctx context.Context, log *slog.Logger, ln net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	context.AfterFunc(ctx, func() { server.Close() })
+	go func() {
+		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.Error("http-server-failed", "address", ln.Addr().String(), "error", err.Error())
+		}
+	}()
+}
+
+// StartAll runs each function in a goroutine and returns a function that ends them
+// and waits.
+func StartAll(ctx context.Context, end func(), functions ...func(context.Context)) func() {
+	done := make(chan struct{})
+	for _, run := range functions {
+		go func() {
+			run(ctx)
+			done <- struct{}{}
+		}()
+	}
+	return func() {
+		end()
+		for range functions {
+			<-done
+		}
+	}
+}
+
+// Tunnels are the tunnel addresses of VMs of which other addresses are known.
+func Tunnels(vms []netip.AddrPort, port uint16) []netip.AddrPort {
+	list := make([]netip.AddrPort, len(vms))
+	for i, vm := range vms {
+		list[i] = netip.AddrPortFrom(vm.Addr(), port)
+	}
+	return list
+}
+
+// Counters count packets by the reason of the decision about them.
+type Counters struct {
+	Reasons  [flow.ReasonCount]metrics.Counter
+	Received metrics.Counter
+	// Unreadable counts datagrams that could not be read, NotSent those that could
+	// not be sent.
+	Unreadable metrics.Counter
+	NotSent    metrics.Counter
+	// Reports counts what sidecars or upstreams said of themselves.
+	Reports metrics.Counter
+}
+
+// NewCounters registers the counters.
+func NewCounters(r metrics.Registry) *Counters {
+	c := &Counters{
+		Received:   metrics.GetOrRegisterCounter("packets.received", r),
+		Unreadable: metrics.GetOrRegisterCounter("packets.unreadable", r),
+		NotSent:    metrics.GetOrRegisterCounter("datagrams.not-sent", r),
+		Reports:    metrics.GetOrRegisterCounter("reports.received", r),
+	}
+	for i := range c.Reasons {
+		c.Reasons[i] = metrics.GetOrRegisterCounter("packets."+flow.Reason(i).String(), r)
+	}
+	return c
+}
--- a/flow/member.go
+++ b/flow/member.go
@@ -9,11 +9,11 @@
 type State uint8
 
 const (
-	// StateWaiting: the sidecar has not heard its upstream yet, or not for long.
+	// StateWaiting means that the sidecar has not heard its upstream yet, or not for long.
 	StateWaiting State = iota
-	// StateReady: the upstream takes new flows.
+	// StateReady means that the upstream takes new flows.
 	StateReady
-	// StateLeaving: the upstream keeps its flows and takes no new ones.
+	// StateLeaving means that the upstream keeps its flows and takes no new ones.
 	StateLeaving
 )
 
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -14,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"greengagedyke/clock"
+	"greengagedyke/daemon"
 	"greengagedyke/flow"
 	"greengagedyke/peer"
 	"greengagedyke/platform"
@@ -21,10 +21,6 @@
 )
 
 const (
-	// socketBuffer is the number of bytes that may wait in a socket.
-	socketBuffer = 1 << 20
-	// maxDatagram is the largest datagram in bytes.
-	maxDatagram = 4096
 	// overdueInterval is the time between looks at unanswered opening packets.
 	overdueInterval = 20 * time.Millisecond
 	expireInterval  = time.Second
@@ -45,7 +41,7 @@
 	outbound *net.UDPConn
 	known    *registry.Known
 	codec    platform.Packets
-	counters *flowCounters
+	counters *daemon.Counters
 	start    uint64
 	// offered is signalled when an opening packet waits for the upstream's answer.
 	offered chan struct{}
@@ -58,25 +54,6 @@
 	reported flow.State
 }
 
-type flowCounters struct {
-	reasons [flow.ReasonCount]metrics.Counter
-	refused metrics.Counter
-	failed  metrics.Counter
-	beats   metrics.Counter
-}
-
-func newFlowCounters(r metrics.Registry) *flowCounters {
-	c := &flowCounters{
-		refused: metrics.GetOrRegisterCounter("packets.unreadable", r),
-		failed:  metrics.GetOrRegisterCounter("datagrams.not-sent", r),
-		beats:   metrics.GetOrRegisterCounter("heartbeats.received", r),
-	}
-	for i := range c.reasons {
-		c.reasons[i] = metrics.GetOrRegisterCounter("packets."+flow.Reason(i).String(), r)
-	}
-	return c
-}
-
 // RunFlows runs a sidecar of flows without a name of their own. When ctx ends, it
 // takes no new flows, and ends shortly after, or when abort ends.
 func RunFlows(ctx, abort context.Context, log *slog.Logger, cfg *FlowSettings, r metrics.Registry) error {
@@ -87,7 +64,7 @@
 		log:      log,
 		clock:    c,
 		known:    registry.NewKnown(netip.AddrPort{}),
-		counters: newFlowCounters(r),
+		counters: daemon.NewCounters(r),
 		start:    uint64(time.Now().UnixNano()),
 		offered:  make(chan struct{}, 1),
 		changed:  make(chan struct{}, 1),
@@ -97,15 +74,11 @@
 }
 
 func (f *Flows) run(ctx, abort context.Context, r metrics.Registry) error {
-	var err error
-	if f.tunnel, err = listenUDP(f.cfg.Tunnel); err != nil {
-		return err
-	}
-	defer f.tunnel.Close()
-	if f.outbound, err = listenUDP(f.cfg.Outbound); err != nil {
+	closeSockets, err := f.listen()
+	if err != nil {
 		return err
 	}
-	defer f.outbound.Close()
+	defer closeSockets()
 	ready, err := net.Listen("tcp4", f.cfg.Ready.String())
 	if err != nil {
 		return err
@@ -121,10 +94,10 @@
 	reg := registry.New(f.log, client, f.mention)
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	f.log.Info("sidecar-started", "identity", f.cfg.Identity, "service", f.cfg.Service)
-	f.mention(f.seeds())
-	serveHTTP(life, f.log, ready, platform.ReadyHandler(func() bool { return ctx.Err() == nil }))
-	serveHTTP(life, f.log, beats, platform.HeartbeatHandler(f))
-	wait := startAll(life, end,
+	f.mention(daemon.Tunnels(f.cfg.Peers, f.cfg.BalancerPort))
+	daemon.ServeHTTP(life, f.log, ready, platform.ReadyHandler(func() bool { return ctx.Err() == nil }))
+	daemon.ServeHTTP(life, f.log, beats, platform.HeartbeatHandler(f))
+	wait := daemon.StartAll(life, end,
 		func(ctx context.Context) { _, _ = reg.Read(ctx) }, // ends with an answer, or with the process
 		f.tick,
 		f.watchOverdue,
@@ -133,56 +106,26 @@
 	)
 	<-ctx.Done()
 	f.leave(abort)
-	f.tunnel.Close()
-	f.outbound.Close()
+	closeSockets()
 	wait()
 	f.log.Info("sidecar-stopped", "identity", f.cfg.Identity)
 	return nil
 }
 
-func listenUDP(addr netip.AddrPort) (*net.UDPConn, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
-	if err != nil {
+// listen opens the sockets for packets and returns what closes them.
+func (f *Flows) listen() (func(), error) {
+	var err error
+	if f.tunnel, err = daemon.ListenUDP(f.cfg.Tunnel); err != nil {
 		return nil, err
 	}
-	return conn, conn.SetReadBuffer(socketBuffer)
-}
-
-// serveHTTP serves until ctx ends.
-func serveHTTP(ctx context.Context, log *slog.Logger, ln net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	context.AfterFunc(ctx, func() { server.Close() })
-	go func() {
-		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			log.Error("http-server-failed", "address", ln.Addr().String(), "error", err.Error())
-		}
-	}()
-}
-
-// startAll runs each function in a goroutine and returns a function that ends them
-// and waits.
-func startAll(ctx context.Context, end func(), functions ...func(context.Context)) func() {
-	done := make(chan struct{})
-	for _, run := range functions {
-		go func() {
-			run(ctx)
-			done <- struct{}{}
-		}()
+	if f.outbound, err = daemon.ListenUDP(f.cfg.Outbound); err != nil {
+		f.tunnel.Close()
+		return nil, err
 	}
 	return func() {
-		end()
-		for range functions {
-			<-done
-		}
-	}
-}
-
-func (f *Flows) seeds() []netip.AddrPort {
-	var list []netip.AddrPort
-	for _, p := range f.cfg.Peers {
-		list = append(list, netip.AddrPortFrom(p.Addr(), f.cfg.BalancerPort))
-	}
-	return list
+		f.tunnel.Close()
+		f.outbound.Close()
+	}, nil
 }
 
 func (f *Flows) leave(abort context.Context) {
@@ -216,7 +159,7 @@
 
 // Heartbeat implements platform.Upstreams.
 func (f *Flows) Heartbeat(b flow.Heartbeat) error {
-	f.counters.beats.Inc(1)
+	f.counters.Reports.Inc(1)
 	now := f.clock.Sync()
 	f.mu.Lock()
 	before := f.holder.State(now)
@@ -299,7 +242,7 @@
 
 func (f *Flows) send(b []byte, to netip.AddrPort) {
 	if _, err := f.tunnel.WriteToUDPAddrPort(b, to); err != nil {
-		f.counters.failed.Inc(1)
+		f.counters.NotSent.Inc(1)
 	}
 }
 
@@ -335,24 +278,16 @@
 
 // readTunnel handles what balancers and siblings send until the socket is closed.
 func (f *Flows) readTunnel() {
-	in := make([]byte, maxDatagram)
-	out := make([]byte, 0, maxDatagram+peer.MaxHead)
-	for {
-		n, from, err := f.tunnel.ReadFromUDPAddrPort(in)
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			f.counters.failed.Inc(1)
-			continue
+	out := make([]byte, 0, daemon.MaxDatagram+peer.MaxHead)
+	daemon.ReadUDP(f.tunnel, f.counters.NotSent, func(b []byte, _ netip.AddrPort) {
+		f.counters.Received.Inc(1)
+		if err := f.datagram(b, out); err != nil {
+			f.counters.Unreadable.Inc(1)
 		}
-		if err := f.datagram(in[:n], from, out); err != nil {
-			f.counters.refused.Inc(1)
-		}
-	}
+	})
 }
 
-func (f *Flows) datagram(b []byte, from netip.AddrPort, out []byte) error {
+func (f *Flows) datagram(b, out []byte) error {
 	kind, body, err := peer.KindOf(b)
 	if err != nil {
 		return err
@@ -402,26 +337,17 @@
 
 // readOutbound handles what the upstream sends until the socket is closed.
 func (f *Flows) readOutbound() {
-	in := make([]byte, maxDatagram)
-	out := make([]byte, 0, maxDatagram+peer.MaxHead)
-	for {
-		n, _, err := f.outbound.ReadFromUDPAddrPort(in)
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			f.counters.failed.Inc(1)
-			continue
-		}
-		f.fromUpstream(in[:n], out)
-	}
+	out := make([]byte, 0, daemon.MaxDatagram+peer.MaxHead)
+	daemon.ReadUDP(f.outbound, f.counters.NotSent, func(b []byte, _ netip.AddrPort) {
+		f.fromUpstream(b, out)
+	})
 }
 
 func (f *Flows) fromUpstream(raw, out []byte) {
 	var p flow.Packet
 	bounced := f.codec.Bounced(raw)
 	if err := f.codec.Parse(raw, bounced, &p); err != nil {
-		f.counters.refused.Inc(1)
+		f.counters.Unreadable.Inc(1)
 		return
 	}
 	if bounced {
@@ -437,13 +363,13 @@
 
 func (f *Flows) toUpstream(raw []byte) {
 	if _, err := f.outbound.WriteToUDPAddrPort(raw, f.cfg.Upstream); err != nil {
-		f.counters.failed.Inc(1)
+		f.counters.NotSent.Inc(1)
 	}
 }
 
 // act carries out a decision about a packet.
 func (f *Flows) act(raw []byte, p *flow.Packet, a *flow.Arrival, r *flow.Ruling, out []byte) {
-	f.counters.reasons[r.Reason].Inc(1)
+	f.counters.Reasons[r.Reason].Inc(1)
 	var err error
 	switch r.Action {
 	case flow.ActionUpstream:
@@ -457,7 +383,7 @@
 		_, err = f.tunnel.WriteToUDPAddrPort(append(head, raw...), r.To)
 	}
 	if err != nil {
-		f.counters.failed.Inc(1)
+		f.counters.NotSent.Inc(1)
 	}
 	if r.Tell.IsValid() {
 		f.tell(p.Key, r)
