End a flow with its upstream only if the caller had chosen that upstream

Now the acknowledgement decides first, and opening packets that waited while the VM was suspended are dropped. TestReplacedUpstreamThatWasNotChosen fails without the change.

--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -28,6 +28,10 @@
 	// forwardAfterStop is how long a stopped balancer goes on to forward, until the
 	// routers have chosen others.
 	forwardAfterStop = 2500 * time.Millisecond
+	// suspensionLimit is the suspension of the VM that is noticed, staleTime how long
+	// the packets that waited meanwhile take to be read.
+	suspensionLimit = 400 * time.Millisecond
+	staleTime       = 100 * time.Millisecond
 	// routeTrust is how old the last word of the store or a peer may be for an unknown
 	// route to be refused.
 	routeTrust = 3 * time.Second
@@ -45,6 +49,10 @@
 	counters *daemon.Counters
 	leaving  atomic.Bool
 	source   *configurationSource
+	// suspended is how long the VM has been suspended, and staleUntil when packets
+	// that waited meanwhile have been read. Only the reader of packets uses them.
+	suspended  time.Duration
+	staleUntil time.Time
 
 	mu       sync.Mutex
 	steering *flow.Steering
@@ -238,6 +246,13 @@
 		return
 	}
 	now := f.clock.Now()
+	if p.Opening() {
+		now = f.clock.Sync()
+		if f.stale(now) {
+			f.counters.Reasons[flow.ReasonStale].Inc(1)
+			return
+		}
+	}
 	f.mu.Lock()
 	v := f.steering.Decide(&p, now)
 	version := f.steering.Configuration().Version
@@ -260,6 +275,16 @@
 	}
 }
 
+// stale reports whether an opening packet may have waited while the VM was suspended:
+// its caller has given up, or has opened the flow through another balancer.
+func (f *Flows) stale(now time.Time) bool {
+	if suspended := f.clock.Suspended(); suspended-f.suspended > suspensionLimit {
+		f.suspended = suspended
+		f.staleUntil = now.Add(staleTime)
+	}
+	return now.Before(f.staleUntil)
+}
+
 func (f *Flows) forward(p *flow.Path, b, out []byte) {
 	out = peer.AppendPacket(out, p, 0, f.cfg.Tunnel, false)
 	f.send(append(out, b...), p.To)
--- a/flow/holder.go
+++ b/flow/holder.go
@@ -214,11 +214,11 @@
 	switch {
 	case !ok:
 		return h.unknown(a, now)
-	case f.incarnation != h.incarnation:
-		return h.orphan(a)
 	case f.answered && a.Packet.Flags.Has(FlagAck) && !f.covers(a.Packet.Ack):
-		a.Path.Unsure = true
+		a.Path.Unsure = f.incarnation == h.incarnation
 		return pass(a, ReasonNotOurs)
+	case f.incarnation != h.incarnation:
+		return h.orphan(a, f)
 	}
 	f.terms = a.Path.Terms
 	r := Ruling{Action: ActionUpstream, Reason: ReasonKnown}
@@ -427,8 +427,11 @@
 	return Ruling{Action: ActionUpstream, Reason: ReasonProbe}
 }
 
-// orphan ends a flow whose upstream was replaced.
-func (h *Holder) orphan(a *Arrival) Ruling {
+// orphan ends a flow whose upstream was replaced, if that one had answered it.
+func (h *Holder) orphan(a *Arrival, f *held) Ruling {
+	if !f.answered || !a.Packet.Flags.Has(FlagAck) {
+		return pass(a, ReasonUnknownFlow)
+	}
 	if a.Packet.Flags.Has(FlagReset) {
 		return Ruling{Action: ActionDrop, Reason: ReasonUpstreamLost}
 	}
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -238,6 +238,16 @@
 	want(t, h.FromTunnel(data(501), now), ActionReset, ReasonUpstreamLost)
 }
 
+// A caller whose opening packets reached two upstreams has its flow at one of them. That
+// the other one was replaced since does not end the flow.
+func TestReplacedUpstreamThatWasNotChosen(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	want(t, h.FromTunnel(opening(), now), ActionUpstream, ReasonPlaced)
+	h.FromUpstream(fromUpstream(FlagOpen|FlagAck, 500, 0), now)
+	beat(t, h, Heartbeat{ID: "i-2", Born: now.Add(time.Minute), Sequence: 1}, now)
+	want(t, h.FromTunnel(data(501+1<<30), now), ActionForward, ReasonNotOurs)
+}
+
 func TestBusyCountsWaitingRequests(t *testing.T) {
 	h, now := testHolder(t, time.Second)
 	open(t, h, now)
--- a/flow/steering.go
+++ b/flow/steering.go
@@ -52,6 +52,7 @@
 	ReasonUpstreamLost
 	ReasonQueued
 	ReasonLost
+	ReasonStale
 	reasonCount
 )
 
@@ -62,7 +63,7 @@
 func (r Reason) String() string {
 	names := [...]string{
 		"none", "no-route", "no-upstream", "placed", "placed-again", "known", "search", "unknown-flow",
-		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost", "queued", "lost",
+		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost", "queued", "lost", "stale",
 	}
 	return names[r]
 }
