Let two balancers watch the store closely; balancers tell one another

Now the first two balancers that reach the store watch it closely, the others for 12 s, and hear of a change from peers; a third steps in when one is silent or loses the store. Addresses of balancers are read every 15 s, since a new one tells all.

--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -90,7 +90,7 @@
 	defer shared.Close()
 	client, closeClient := platform.New(f.cfg.Store, r)
 	defer closeClient()
-	f.source = newConfigurationSource(f.log, client, f.configure, func() int { return len(f.known.List()) })
+	f.source = newConfigurationSource(f.log, client, f.cfg.Tunnel, f.clock, f.configure)
 	reg := registry.New(f.log, client, f.mention)
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	f.mention(daemon.Tunnels(f.cfg.Peers, f.cfg.Tunnel.Port()))
@@ -100,7 +100,7 @@
 		f.source.watch,
 		func(ctx context.Context) { f.source.serve(ctx, shared) },
 		func(ctx context.Context) { reg.Keep(ctx, f.cfg.Tunnel) },
-		reg.Watch,
+		reg.Follow,
 		f.tick,
 		func(context.Context) { f.readPackets() },
 		func(context.Context) { f.readTunnel() },
@@ -200,7 +200,7 @@
 
 func (f *Flows) balancersMessage() []byte {
 	f.mu.Lock()
-	l := peer.Balancers{Version: f.steering.Configuration().Version}
+	l := peer.Balancers{Version: f.steering.Configuration().Version, StoreReached: f.source.reached()}
 	l.Sidecars, _ = f.steering.Members(f.clock.Now())
 	f.mu.Unlock()
 	l.Addrs = append([]netip.AddrPort{f.cfg.Tunnel}, f.known.List()...)
@@ -397,7 +397,7 @@
 	members, _ := f.steering.Members(now)
 	version := f.steering.Configuration().Version
 	f.mu.Unlock()
-	f.source.heard(from, l.Version, version, now)
+	f.source.heard(from, l, version)
 	if l.Sidecars < members {
 		f.send(f.balancersMessage(), from)
 	}
--- a/balancer/source.go
+++ b/balancer/source.go
@@ -11,16 +11,18 @@
 
 	"github.com/pkg/errors"
 
+	"greengagedyke/clock"
 	"greengagedyke/flow"
+	"greengagedyke/peer"
 	"greengagedyke/platform"
 )
 
 const (
-	// configurationWait is how long a watch of the configuration waits: a store that
-	// loses its history may leave a watch without an answer. With many balancers it
-	// grows by configurationShare for each, since they tell one another.
-	configurationWait  = 1500 * time.Millisecond
-	configurationShare = 50 * time.Millisecond
+	// closeWait is how long a close watch of the configuration waits: a store that
+	// loses its history may leave a watch without an answer. relaxedWait is how long
+	// one waits that others watch for.
+	closeWait   = 1500 * time.Millisecond
+	relaxedWait = 12 * time.Second
 	// configurationPause is the time between reads of a store that fails.
 	configurationPause = 500 * time.Millisecond
 	// behindPatience is how long a peer may have a newer configuration before the
@@ -35,29 +37,41 @@
 type configurationSource struct {
 	log    *slog.Logger
 	client *platform.Client
+	clock  *clock.Clock
 	apply  func(*flow.Configuration) bool
-	// peers is the number of balancers that share the watching.
-	peers func() int
 
-	mu sync.Mutex
+	mu       sync.Mutex
+	watchers *watchers
 	// data is the newest configuration as the store encodes it.
 	data []byte
-	// trusted is when the store or a peer last confirmed what is in force.
+	// up is set while the store answers, trusted is when a peer last confirmed what
+	// is in force.
+	up      bool
 	trusted time.Time
-	// behind is since when a peer is known to have a newer one; zero if none has.
-	behind  time.Time
-	copying bool
+	// newer is the newest version that a peer has in force, at where, if it is newer
+	// than the own one; 0 if none is.
+	newer uint64
+	where netip.AddrPort
+	// hurry ends a relaxed watch.
+	hurry context.CancelFunc
 }
 
-func newConfigurationSource(log *slog.Logger, c *platform.Client, apply func(*flow.Configuration) bool, peers func() int) *configurationSource {
-	return &configurationSource{log: log, client: c, apply: apply, peers: peers}
+func newConfigurationSource(log *slog.Logger, c *platform.Client, self netip.AddrPort, cl *clock.Clock, apply func(*flow.Configuration) bool) *configurationSource {
+	return &configurationSource{log: log, client: c, clock: cl, apply: apply, watchers: newWatchers(self), hurry: func() {}}
+}
+
+// reached reports whether the store answers.
+func (s *configurationSource) reached() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.up
 }
 
 // fresh reports whether an unknown route is known not to exist.
 func (s *configurationSource) fresh(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.trusted) < routeTrust && s.behind.IsZero()
+	return now.Sub(s.trusted) < routeTrust && s.newer == 0
 }
 
 // take puts an encoded configuration in force if it is newer.
@@ -72,25 +86,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.data = data
-	s.behind = time.Time{}
+	if cfg.Version >= s.newer {
+		s.newer = 0
+	}
 }
 
 // watch follows the store until ctx ends.
 func (s *configurationSource) watch(ctx context.Context) {
 	store := platform.NewOperatorConfigurations(s.client)
-	up := true
 	for ctx.Err() == nil {
-		wait := max(configurationWait, configurationShare*time.Duration(s.peers()))
-		data, err := store.Next(ctx, wait)
-		switch {
-		case err == nil:
+		data, err := s.next(ctx, store)
+		if err == nil {
 			s.take(data, "store")
-		case errors.Is(err, platform.ErrUnchanged), errors.Is(err, platform.ErrNotFound):
 		}
 		reached := err == nil || errors.Is(err, platform.ErrUnchanged)
-		if reached != up {
+		s.mu.Lock()
+		changed := reached != s.up
+		s.up = reached
+		s.mu.Unlock()
+		if changed {
 			s.log.Warn("store-reached", "reached", reached, "error", errorText(err))
-			up = reached
 		}
 		if !reached {
 			pause(ctx, configurationPause)
@@ -98,6 +113,28 @@
 	}
 }
 
+// next waits for the next configuration. A relaxed watch ends early when this balancer
+// has to watch closely.
+func (s *configurationSource) next(ctx context.Context, store *platform.OperatorConfigurations) ([]byte, error) {
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wait := closeWait
+	s.mu.Lock()
+	if !s.watchers.close(s.clock.Now()) {
+		wait = relaxedWait
+		s.hurry = cancel
+	}
+	s.mu.Unlock()
+	data, err := store.Next(watch, wait)
+	s.mu.Lock()
+	s.hurry = func() {}
+	s.mu.Unlock()
+	if err != nil && watch.Err() != nil && ctx.Err() == nil {
+		return nil, platform.ErrUnchanged
+	}
+	return data, err
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
@@ -105,34 +142,49 @@
 	return err.Error()
 }
 
-// heard takes in the version that a peer has in force.
-func (s *configurationSource) heard(from netip.AddrPort, theirs, ours uint64, now time.Time) {
+// heard takes in what a peer has in force, and whether it reaches the store.
+func (s *configurationSource) heard(from netip.AddrPort, l *peer.Balancers, ours uint64) {
+	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if theirs <= ours {
+	s.watchers.note(from, l.StoreReached, now)
+	if s.watchers.close(now) {
+		s.hurry()
+	}
+	if l.Version <= ours {
 		s.trusted = now
 		return
 	}
-	if s.behind.IsZero() {
-		s.behind = now
-	}
-	if s.copying || (now.Sub(s.behind) < behindPatience && ours > 0) {
+	if l.Version <= s.newer {
 		return
 	}
-	s.copying = true
-	go s.copy(from, theirs, ours)
+	s.newer = l.Version
+	s.where = from
+	patience := behindPatience
+	if ours == 0 {
+		patience = 0
+	}
+	time.AfterFunc(patience, s.copy)
 }
 
-// copy brings the configuration from a peer.
-func (s *configurationSource) copy(from netip.AddrPort, theirs, ours uint64) {
-	data, err := readFrom(from)
+// copy brings the configuration from a peer if that still has a newer one.
+func (s *configurationSource) copy() {
 	s.mu.Lock()
-	s.copying = false
+	version, from := s.newer, s.where
 	s.mu.Unlock()
-	s.log.Info("configuration-copied", "from", from.String(), "version", theirs, "ours", ours, "error", errorText(err))
+	if version == 0 {
+		return
+	}
+	data, err := readFrom(from)
+	s.log.Info("configuration-copied", "from", from.String(), "version", version, "error", errorText(err))
 	if err == nil {
 		s.take(data, from.String())
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.newer == version {
+		s.newer = 0 // the next word of a peer starts another try
+	}
 }
 
 func readFrom(addr netip.AddrPort) ([]byte, error) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -53,7 +53,7 @@
 	termsSize = 1 + 2 + 2
 	loadSize  = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4
 	// balancersSize is the length of a list of balancers without their addresses.
-	balancersSize = 8 + 4
+	balancersSize = 8 + 4 + 1
 	// MaxHead is the largest number of bytes before a packet.
 	MaxHead = commonSize + pathSize + flow.RankingDepth*addressSize
 	// maxBalancers bounds a list of balancers.
@@ -199,7 +199,9 @@
 type Balancers struct {
 	Version  uint64
 	Sidecars int
-	Addrs    []netip.AddrPort
+	// StoreReached says that the store answers the sender.
+	StoreReached bool
+	Addrs        []netip.AddrPort
 }
 
 // AppendBalancers appends a list of balancers; a longer one than fits is cut.
@@ -207,6 +209,11 @@
 	b = append(b, magic, byte(KindBalancers))
 	b = binary.BigEndian.AppendUint64(b, l.Version)
 	b = binary.BigEndian.AppendUint32(b, uint32(l.Sidecars))
+	reached := byte(0)
+	if l.StoreReached {
+		reached = 1
+	}
+	b = append(b, reached)
 	for _, a := range l.Addrs[:min(len(l.Addrs), maxBalancers)] {
 		b = appendAddr(b, a)
 	}
@@ -218,7 +225,11 @@
 	if len(b) < balancersSize || (len(b)-balancersSize)%addressSize != 0 {
 		return Balancers{}, ErrTruncated
 	}
-	l := Balancers{Version: binary.BigEndian.Uint64(b), Sidecars: int(binary.BigEndian.Uint32(b[8:]))}
+	l := Balancers{
+		Version:      binary.BigEndian.Uint64(b),
+		Sidecars:     int(binary.BigEndian.Uint32(b[8:])),
+		StoreReached: b[12] == 1,
+	}
 	for rest := b[balancersSize:]; len(rest) > 0; rest = rest[addressSize:] {
 		l.Addrs = append(l.Addrs, addrFrom(rest))
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -19,13 +19,13 @@
 	keepInterval = 3 * time.Second
 	// retryPause is the time between calls to a store that fails.
 	retryPause = 500 * time.Millisecond
-	watchWait  = 15 * time.Second
+	// readInterval is the time between reads of all addresses.
+	readInterval = 15 * time.Second
 )
 
 // Store is what the registry needs of the platform's store.
 type Store interface {
 	List(ctx context.Context, prefix string) ([]platform.Value, uint64, error)
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Value, uint64, error)
 	Write(ctx context.Context, w platform.Write) (uint64, error)
 	Grant(ctx context.Context, ttl time.Duration) (platform.Lease, time.Duration, error)
 	Keep(ctx context.Context, lease platform.Lease) error
@@ -95,43 +95,25 @@
 }
 
 // Read calls found once with the addresses in the store, as soon as it answers.
-func (r *Registry) Read(ctx context.Context) (uint64, error) {
-	for {
-		list, revision, err := r.store.List(ctx, prefix)
+func (r *Registry) Read(ctx context.Context) {
+	for ctx.Err() == nil {
+		list, _, err := r.store.List(ctx, prefix)
 		if err == nil {
 			r.found(addresses(list))
-			return revision, nil
+			return
 		}
 		r.log.Warn("balancers-not-read", "error", err.Error())
 		pause(ctx, retryPause)
-		if ctx.Err() != nil {
-			return 0, ctx.Err()
-		}
 	}
 }
 
-// Watch calls found with each address that the store holds or gets until ctx ends.
-func (r *Registry) Watch(ctx context.Context) {
+// Follow calls found with the addresses in the store at once and then regularly, until
+// ctx ends. In between balancers tell one another.
+func (r *Registry) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		revision, err := r.Read(ctx)
-		for err == nil {
-			revision, err = r.next(ctx, revision)
-		}
-		pause(ctx, retryPause)
-	}
-}
-
-func (r *Registry) next(ctx context.Context, after uint64) (uint64, error) {
-	list, revision, err := r.store.Watch(ctx, prefix, after, watchWait)
-	if errors.Is(err, platform.ErrUnchanged) {
-		return revision, nil
-	}
-	if err != nil {
-		r.log.Warn("watch-of-balancers-failed", "after", after, "error", err.Error())
-		return 0, err
+		r.Read(ctx)
+		pause(ctx, readInterval)
 	}
-	r.found(addresses(list))
-	return revision, nil
 }
 
 func addresses(list []platform.Value) []netip.AddrPort {
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -98,7 +98,7 @@
 	daemon.ServeHTTP(life, f.log, ready, platform.ReadyHandler(func() bool { return ctx.Err() == nil }))
 	daemon.ServeHTTP(life, f.log, beats, platform.HeartbeatHandler(f))
 	wait := daemon.StartAll(life, end,
-		func(ctx context.Context) { _, _ = reg.Read(ctx) }, // ends with an answer, or with the process
+		reg.Read,
 		f.tick,
 		f.watchOverdue,
 		func(context.Context) { f.readTunnel() },
