--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,93 @@
+package peer_test
+
+import (
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"greengagedyke/flow"
+	"greengagedyke/peer"
+)
+
+var (
+	a1  = netip.MustParseAddrPort("10.0.0.1:7720")
+	a2  = netip.MustParseAddrPort("10.0.0.2:8172")
+	key = flow.NewKey(netip.MustParseAddrPort("100.64.0.7:40001"), netip.MustParseAddrPort("198.18.0.1:443"))
+)
+
+func body(t testing.TB, b []byte, want peer.Kind) []byte {
+	t.Helper()
+	kind, rest, err := peer.KindOf(b)
+	if err != nil || kind != want {
+		t.Fatalf("kind %v, %v", kind, err)
+	}
+	return rest
+}
+
+func TestPacket(t *testing.T) {
+	path := flow.Path{
+		Tag: 7, Search: 3, Unsure: true, N: 2, Next: [flow.RankingDepth]netip.AddrPort{a1, a2},
+		Terms: flow.Terms{Priority: 2, Objective: 120 * time.Millisecond, Timeout: time.Second},
+	}
+	b := append(peer.AppendPacket(nil, &path, 1, a1, true), "packet"...)
+	var got flow.Arrival
+	raw, err := peer.ParsePacket(body(t, b, peer.KindPacket), &got)
+	if err != nil || string(raw) != "packet" {
+		t.Fatalf("%q, %v", raw, err)
+	}
+	want := flow.Arrival{Path: path, Hop: 1, Origin: a1, Offered: true}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func TestLoad(t *testing.T) {
+	want := flow.Load{
+		Start: 1 << 60, Sequence: 9, Tag: 7, Domain: 5, State: flow.StateLeaving,
+		Slots: 2, Busy: 3, Flows: 400, Cold: 1500 * time.Millisecond,
+	}
+	got, err := peer.ParseLoad(body(t, peer.AppendLoad(nil, &want), peer.KindLoad))
+	if err != nil || got != want {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
+func TestHeldAndMissed(t *testing.T) {
+	if k, err := peer.ParseHeld(body(t, peer.AppendHeld(nil, key), peer.KindHeld)); err != nil || k != key {
+		t.Errorf("held %v, %v", k, err)
+	}
+	k, search, err := peer.ParseMissed(body(t, peer.AppendMissed(nil, key, 4), peer.KindMissed))
+	if err != nil || k != key || search != 4 {
+		t.Errorf("missed %v, %d, %v", k, search, err)
+	}
+}
+
+func TestBalancers(t *testing.T) {
+	want := peer.Balancers{Version: 12, Sidecars: 10, StoreReached: true, Addrs: []netip.AddrPort{a1, a2}}
+	got, err := peer.ParseBalancers(body(t, peer.AppendBalancers(nil, &want), peer.KindBalancers))
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
+// Any bytes are parsed or refused.
+func FuzzDatagram(f *testing.F) {
+	f.Add(peer.AppendPacket(nil, &flow.Path{N: 2, Next: [flow.RankingDepth]netip.AddrPort{a1, a2}}, 0, a1, false))
+	f.Add(peer.AppendLoad(nil, &flow.Load{}))
+	f.Add(peer.AppendHeld(nil, key))
+	f.Add(peer.AppendMissed(nil, key, 1))
+	f.Add(peer.AppendBalancers(nil, &peer.Balancers{Addrs: []netip.AddrPort{a1}}))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		_, rest, err := peer.KindOf(b)
+		if err != nil {
+			return
+		}
+		var a flow.Arrival
+		_, _ = peer.ParsePacket(rest, &a)
+		_, _ = peer.ParseLoad(rest)
+		_, _ = peer.ParseHeld(rest)
+		_, _, _ = peer.ParseMissed(rest)
+		_, _ = peer.ParseBalancers(rest)
+	})
+}
