Give no flow up within a second of a member's joining; histograms

Now all members count as known one second after the last one joined, or two if no other balancer is heard.

Histograms of the time to open, to wait and to answer on the metrics address, which the deploy file names.

--- a/flow/holder.go
+++ b/flow/holder.go
@@ -108,6 +108,28 @@
 	denied bool
 }
 
+// Measure is a time that a sidecar measures.
+type Measure uint8
+
+// The times that are measured.
+const (
+	// MeasureOpen is the time from an opening packet to the upstream's answer.
+	MeasureOpen Measure = iota
+	// MeasureWait is the time that a request waits in the sidecar.
+	MeasureWait
+	// MeasureAnswer is the time from a request to the first byte of its answer.
+	MeasureAnswer
+	measureCount
+)
+
+// MeasureCount is the number of measures.
+const MeasureCount = int(measureCount)
+
+// String returns the measure's name.
+func (m Measure) String() string {
+	return [...]string{"upstream.open", "request.wait", "upstream.answer"}[m]
+}
+
 // Holder decides for a sidecar. It is not safe for concurrent use.
 type Holder struct {
 	gate *Gate
@@ -127,6 +149,8 @@
 	pending int
 	busy    int
 	leaving bool
+	// observe takes in what is measured.
+	observe func(Measure, time.Duration)
 	idle    time.Duration
 }
 
@@ -141,10 +165,14 @@
 		flows:     map[Key]*held{},
 		strangers: map[Key]stranger{},
 		service:   defaultService,
+		observe:   func(Measure, time.Duration) {},
 		idle:      idle,
 	}
 }
 
+// Observe calls observe with each time that is measured.
+func (h *Holder) Observe(observe func(Measure, time.Duration)) { h.observe = observe }
+
 // Heartbeat takes in a heartbeat of the upstream.
 func (h *Holder) Heartbeat(b Heartbeat, now time.Time) HeartbeatOutcome {
 	first := h.gate.Last().ID == ""
@@ -295,6 +323,7 @@
 			continue
 		}
 		f.queued = false
+		h.observe(MeasureWait, now.Sub(w.arrived))
 		h.begin(f, now)
 		for _, p := range w.packets {
 			deliver(p.raw)
@@ -464,6 +493,7 @@
 		f.pending = false
 		h.pending--
 		h.gate.answered()
+		h.observe(MeasureOpen, now.Sub(f.offered))
 	}
 	if end := p.Sequence + uint32(p.Length) - f.first; end > f.sent && end < 1<<31 {
 		f.sent = end
@@ -485,6 +515,7 @@
 // learn takes in how long the upstream took for a request.
 func (h *Holder) learn(f *held, now time.Time) {
 	if f.waits && !f.begun.IsZero() {
+		h.observe(MeasureAnswer, now.Sub(f.begun))
 		h.service += time.Duration(serviceGain * float64(now.Sub(f.begun)-h.service))
 	}
 }
--- a/flow/search.go
+++ b/flow/search.go
@@ -14,9 +14,9 @@
 	searchPaths = 16
 	// settledAfter is how long no member may have joined before the members of the
 	// system count as known.
-	settledAfter = 300 * time.Millisecond
+	settledAfter = time.Second
 	// peerPatience is how long a balancer that has heard no other one waits for one.
-	peerPatience = 1200 * time.Millisecond
+	peerPatience = 2 * time.Second
 )
 
 // search sends a packet of an unknown flow along all members, on several paths at
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -70,6 +70,11 @@
 		changed:  make(chan struct{}, 1),
 		holder:   flow.NewHolder(gate, cfg.Service, time.Duration(cfg.FlowLimit), c.Now(), time.Now()),
 	}
+	var histograms [flow.MeasureCount]*daemon.Histogram
+	for m := range histograms {
+		histograms[m] = daemon.NewHistogram(flow.Measure(m).String(), r)
+	}
+	f.holder.Observe(func(m flow.Measure, d time.Duration) { histograms[m].Record(d) })
 	return errors.Wrap(f.run(ctx, abort, r), "sidecar.RunFlows")
 }
 
