--- /dev/null
+++ b/cmd/greengagedyke/logs.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"greengagedyke/timeline"
+)
+
+const (
+	logsShort = "Merge collected logs into one time line"
+	logsUsage = `Prints the lines of collected logs in the order of their times. Each file holds
+the lines of one process, or of several with their names before the JSON.
+
+--about picks the lines that contain a text, such as a flow's "100.64.0.7:40001";
+all of several must be there.`
+)
+
+type logsCommand struct {
+	About []string `long:"about" value-name:"TEXT" description:"only lines that contain this; repeat for several"`
+	Args  struct {
+		Files []flags.Filename `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *logsCommand) Execute([]string) error {
+	var all timeline.Lines
+	skipped := 0
+	for _, file := range c.Args.Files {
+		lines, n, err := readLog(string(file), c.About)
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
+		skipped += n
+	}
+	all.Sort()
+	for _, l := range all {
+		fmt.Printf("%s %s %s\n", l.Time.UTC().Format("15:04:05.000000"), l.Process, l.Text)
+	}
+	if skipped > 0 {
+		fmt.Fprintf(os.Stderr, "%d lines are no log lines\n", skipped)
+	}
+	return nil
+}
+
+func readLog(file string, about []string) (timeline.Lines, int, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "logs")
+	}
+	defer f.Close()
+	return timeline.ReadLog(f, filepath.Base(file), about)
+}
--- a/cmd/greengagedyke/main.go
+++ b/cmd/greengagedyke/main.go
@@ -45,6 +45,7 @@
 		{"diff", diffShort, diffUsage, &diffCommand{}},
 		{"watch", watchShort, watchUsage, &watchCommand{}},
 		{"status", statusShort, statusUsage, &statusCommand{}},
+		{"logs", logsShort, logsUsage, &logsCommand{}},
 		{"timeline", timelineShort, timelineUsage, &timelineCommand{}},
 		{"demo", demoShort, demoUsage, &demoCommand{}},
 		{"version", versionShort, versionUsage, &versionCommand{}},
--- /dev/null
+++ b/flow/answering.go
@@ -0,0 +1,97 @@
+package flow
+
+import "time"
+
+// FromUpstream decides about a packet of the own upstream.
+func (h *Holder) FromUpstream(p *Packet, now time.Time) Ruling {
+	if p.Flags.Has(FlagBounced) {
+		return h.bounced(p)
+	}
+	f, ok := h.flows[p.Key]
+	if !ok || f.incarnation != h.incarnation {
+		if p.Flags.Has(FlagReset) {
+			// An upstream that starts resets packets that it is asked about.
+			return Ruling{Action: ActionDrop, Reason: ReasonNotOurs}
+		}
+		f = &held{first: p.Sequence - 1, answered: true, learnt: true, incarnation: h.incarnation}
+		h.flows[p.Key] = f
+		delete(h.strangers, p.Key)
+	}
+	f.used = now
+	r := Ruling{Action: ActionCaller, Reason: ReasonKnown}
+	if p.Flags.Has(FlagOpen) && !f.answered {
+		f.first = p.Sequence
+		f.answered = true
+		r.Tell = f.opening.Origin
+	}
+	h.noteAnswer(f, p, now)
+	return r
+}
+
+// noteAnswer follows a flow by a packet of the upstream.
+func (h *Holder) noteAnswer(f *held, p *Packet, now time.Time) {
+	if f.pending {
+		f.pending = false
+		h.pending--
+		h.gate.answered()
+		h.observe(MeasureOpen, now.Sub(f.offered))
+	}
+	if end := p.Sequence + uint32(p.Length) - f.first; end > f.sent && end < 1<<31 {
+		f.sent = end
+	}
+	if p.Length > 0 || p.Flags.Has(FlagEnd) {
+		h.learn(f, now)
+		h.settle(f)
+	}
+	if p.Flags.Has(FlagEnd) {
+		f.ended |= upstreamEnded
+	}
+	if p.Flags.Has(FlagReset) {
+		f.ended = bothEnded
+		h.settle(f)
+	}
+}
+
+// learn takes in how long the upstream took for a request.
+func (h *Holder) learn(f *held, now time.Time) {
+	if f.waits && !f.begun.IsZero() {
+		h.observe(MeasureAnswer, now.Sub(f.begun))
+		h.service += time.Duration(serviceGain * float64(now.Sub(f.begun)-h.service))
+	}
+}
+
+// bounced decides about a packet that the upstream returned.
+func (h *Holder) bounced(p *Packet) Ruling {
+	f, ok := h.flows[p.Key]
+	switch {
+	case !ok:
+		return h.strayed(p)
+	case p.Opening() && f.pending:
+		a := f.opening
+		h.forget(p.Key, f)
+		r := pass(&a, ReasonBounced)
+		r.Arrival = &a
+		return r
+	case p.Opening() || f.ended != 0 || !f.answered || !f.covers(p.Ack):
+		return Ruling{Action: ActionDrop, Reason: ReasonBounced}
+	}
+	// The upstream answered this flow and no longer holds it: it is a new process.
+	h.forget(p.Key, f)
+	if p.Flags.Has(FlagReset) {
+		return Ruling{Action: ActionDrop, Reason: ReasonUpstreamLost}
+	}
+	return Ruling{Action: ActionReset, Reason: ReasonUpstreamLost}
+}
+
+// strayed sends the packet of a flow that the upstream was asked about on.
+func (h *Holder) strayed(p *Packet) Ruling {
+	s, ok := h.strangers[p.Key]
+	if !ok || p.Opening() {
+		return Ruling{Action: ActionDrop, Reason: ReasonBounced}
+	}
+	s.denied = true
+	h.strangers[p.Key] = s
+	r := pass(&s.arrival, ReasonUnknownFlow)
+	r.Arrival = &s.arrival
+	return r
+}
--- /dev/null
+++ b/flow/arriving.go
@@ -0,0 +1,237 @@
+package flow
+
+import "time"
+
+// FromTunnel decides about a caller's packet.
+func (h *Holder) FromTunnel(a *Arrival, now time.Time) Ruling {
+	if a.Packet.Opening() {
+		return h.open(a, now)
+	}
+	f, ok := h.flows[a.Packet.Key]
+	switch {
+	case !ok:
+		return h.unknown(a, now)
+	case f.answered && a.Packet.Flags.Has(FlagAck) && !f.covers(a.Packet.Ack):
+		a.Path.Unsure = f.incarnation == h.incarnation
+		return pass(a, ReasonNotOurs)
+	case f.incarnation != h.incarnation:
+		return h.orphan(a, f)
+	}
+	f.terms = a.Path.Terms
+	r := Ruling{Action: ActionUpstream, Reason: ReasonKnown}
+	if a.Hop > 0 {
+		r.Tell = a.Origin
+	}
+	if h.holds(f, a, now) {
+		r.Action = ActionHold
+		r.Reason = ReasonQueued
+		return r
+	}
+	h.note(f, &a.Packet, now)
+	return r
+}
+
+// work is the number of requests that the upstream has or that wait for it.
+func (h *Holder) work() int { return h.busy + h.queue.Len() }
+
+// holds puts a packet with data into the queue if it begins or continues a request
+// that has to wait.
+func (h *Holder) holds(f *held, a *Arrival, now time.Time) bool {
+	f.used = now
+	if a.Packet.Length == 0 || f.waits || f.ended != 0 || f.repeats(&a.Packet) && !f.queued {
+		return false
+	}
+	if !f.queued && (h.busy < h.limit() || h.gate.Last().Slots == 0) && h.queue.Len() == 0 {
+		return false
+	}
+	if !h.queue.hold(&a.Packet, a.Raw, f.terms, openingAge(f.copies), now) {
+		return f.queued
+	}
+	f.queued = true
+	f.copies = 0
+	f.advance(&a.Packet)
+	return true
+}
+
+// repeats reports whether a packet carries only bytes that came before.
+func (f *held) repeats(p *Packet) bool {
+	return f.data && int32(p.Sequence+uint32(p.Length)-f.next) <= 0
+}
+
+// advance notes the bytes of a packet.
+func (f *held) advance(p *Packet) {
+	if p.Length > 0 && !f.repeats(p) {
+		f.next = p.Sequence + uint32(p.Length)
+		f.data = true
+	}
+}
+
+// limit is the number of requests that the upstream has at once.
+func (h *Holder) limit() int { return h.gate.Last().Slots + spareRequests }
+
+// openingAge is how long a caller has waited who sent copies of its opening packet.
+func openingAge(copies uint32) time.Duration {
+	switch copies {
+	case 0:
+		return 0
+	case 1:
+		return 200 * time.Millisecond
+	}
+	return 600 * time.Millisecond
+}
+
+// Release hands over the packets of requests that need not wait any longer.
+func (h *Holder) Release(now time.Time, deliver func(raw []byte)) {
+	for h.busy < h.limit() {
+		w := h.queue.next(now, h.service)
+		if w == nil {
+			return
+		}
+		f, ok := h.flows[w.key]
+		if !ok || !f.queued {
+			continue
+		}
+		f.queued = false
+		h.observe(MeasureWait, now.Sub(w.arrived))
+		h.begin(f, now)
+		for _, p := range w.packets {
+			deliver(p.raw)
+		}
+	}
+}
+
+// begin notes that the upstream gets a request.
+func (h *Holder) begin(f *held, now time.Time) {
+	f.waits = true
+	f.begun = now
+	f.copies = 0
+	h.busy++
+}
+
+// covers reports whether an acknowledgement fits what the upstream sent: two upstreams
+// may have answered the same opening packet, with different numbers. Of a flow that was
+// learnt later, earlier bytes may be acknowledged as well.
+func (f *held) covers(ack uint32) bool {
+	before := uint32(0)
+	if f.learnt {
+		before = ackSlack
+	}
+	return ack-f.first-1+before <= f.sent+before+ackSlack
+}
+
+// note follows a flow by a caller's packet.
+func (h *Holder) note(f *held, p *Packet, now time.Time) {
+	f.used = now
+	if p.Length > 0 && !f.waits && f.ended == 0 && !f.repeats(p) {
+		h.begin(f, now)
+	}
+	f.advance(p)
+	if p.Flags.Has(FlagEnd) {
+		f.ended |= callerEnded
+	}
+	if p.Flags.Has(FlagReset) {
+		f.ended = bothEnded
+		h.settle(f)
+		h.unqueue(p.Key, f)
+	}
+}
+
+// unqueue forgets a request that nobody waits for any longer.
+func (h *Holder) unqueue(k Key, f *held) {
+	if f.queued {
+		f.queued = false
+		h.queue.drop(k)
+	}
+}
+
+// settle notes that no request of the flow waits any longer.
+func (h *Holder) settle(f *held) {
+	if f.waits {
+		f.waits = false
+		h.busy--
+	}
+}
+
+// pass sends a packet on to the next sidecar of its path.
+func pass(a *Arrival, reason Reason) Ruling {
+	if a.Hop < a.Path.N {
+		return Ruling{Action: ActionForward, Reason: reason, To: a.Path.Next[a.Hop], Hop: a.Hop + 1}
+	}
+	if a.Packet.Opening() {
+		return Ruling{Action: a.refusal(), Reason: reason}
+	}
+	if a.Path.Unsure && a.Path.Search != 0 {
+		return Ruling{Action: ActionDrop, Reason: reason}
+	}
+	return Ruling{Action: ActionDrop, Reason: reason, Tell: a.Origin, Missed: true, Search: a.Path.Search}
+}
+
+// refusal ends the attempt of a caller at once if no copy of the opening packet was
+// placed before.
+func (a *Arrival) refusal() Action {
+	if a.Packet.Copies() == 0 && !a.Offered {
+		return ActionReset
+	}
+	return ActionDrop
+}
+
+func (h *Holder) open(a *Arrival, now time.Time) Ruling {
+	if a.Path.Tag != h.tag {
+		return pass(a, ReasonOtherService)
+	}
+	if h.State(now) != StateReady {
+		return pass(a, ReasonClosed)
+	}
+	f, ok := h.flows[a.Packet.Key]
+	if ok && f.incarnation == h.incarnation {
+		f.used = now
+		return Ruling{Action: ActionUpstream, Reason: ReasonCopy}
+	}
+	if a.Hop < a.Path.N && a.Hop < 2 && h.crowded() {
+		return pass(a, ReasonBusy)
+	}
+	if ok {
+		h.forget(a.Packet.Key, f)
+	}
+	h.flows[a.Packet.Key] = &held{
+		opening: *a, offered: now, pending: true, used: now, incarnation: h.incarnation,
+		copies: a.Packet.Copies(), terms: a.Path.Terms,
+	}
+	h.pending++
+	return Ruling{Action: ActionUpstream, Reason: ReasonPlaced}
+}
+
+// crowded reports whether so much work waits that a sibling may be faster.
+func (h *Holder) crowded() bool {
+	slots := max(1, h.gate.Last().Slots)
+	return h.work() >= slots*(1+queueAhead)
+}
+
+// unknown decides about a packet of a flow that this process does not know. After a
+// start of its own, the upstream may hold it all the same.
+func (h *Holder) unknown(a *Arrival, now time.Time) Ruling {
+	if h.complete || now.Sub(h.started) > probeAge {
+		return pass(a, ReasonUnknownFlow)
+	}
+	s, ok := h.strangers[a.Packet.Key]
+	if ok && s.denied && now.Sub(s.at) < strangerAge {
+		return pass(a, ReasonUnknownFlow)
+	}
+	if ok && !s.denied && now.Sub(s.at) < probeInterval {
+		a.Path.Unsure = true
+		return pass(a, ReasonUnknownFlow)
+	}
+	h.strangers[a.Packet.Key] = stranger{at: now, arrival: *a}
+	return Ruling{Action: ActionUpstream, Reason: ReasonProbe}
+}
+
+// orphan ends a flow whose upstream was replaced, if that one had answered it.
+func (h *Holder) orphan(a *Arrival, f *held) Ruling {
+	if !f.answered || !a.Packet.Flags.Has(FlagAck) {
+		return pass(a, ReasonUnknownFlow)
+	}
+	if a.Packet.Flags.Has(FlagReset) {
+		return Ruling{Action: ActionDrop, Reason: ReasonUpstreamLost}
+	}
+	return Ruling{Action: ActionReset, Reason: ReasonUpstreamLost}
+}
