--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -371,7 +371,7 @@
 	ack, lost := f.steering.Missed(k, from, search, f.clock.Now())
 	members, _ := f.steering.Members(f.clock.Now())
 	f.mu.Unlock()
-	f.log.Info("flow-missed", "flow", k.String(), "by", from.String(), "search", search, "lost", lost)
+	f.log.Debug("flow-missed", "flow", k.String(), "by", from.String(), "search", search, "lost", lost)
 	if !lost {
 		return
 	}
--- a/balancer/source.go
+++ b/balancer/source.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"greengagedyke/clock"
+	"greengagedyke/daemon"
 	"greengagedyke/flow"
 	"greengagedyke/peer"
 	"greengagedyke/platform"
@@ -96,6 +97,9 @@
 	store := platform.NewOperatorConfigurations(s.client)
 	for ctx.Err() == nil {
 		data, err := s.next(ctx, store)
+		if ctx.Err() != nil {
+			return
+		}
 		if err == nil {
 			s.take(data, "store")
 		}
@@ -105,7 +109,7 @@
 		s.up = reached
 		s.mu.Unlock()
 		if changed {
-			s.log.Warn("store-reached", "reached", reached, "error", errorText(err))
+			s.log.Warn("store-reached", "reached", reached, "error", daemon.ErrorText(err))
 		}
 		if !reached {
 			pause(ctx, configurationPause)
@@ -135,13 +139,6 @@
 	return data, err
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // heard takes in what a peer has in force, and whether it reaches the store.
 func (s *configurationSource) heard(from netip.AddrPort, l *peer.Balancers, ours uint64) {
 	now := s.clock.Now()
@@ -176,7 +173,7 @@
 		return
 	}
 	data, err := readFrom(from)
-	s.log.Info("configuration-copied", "from", from.String(), "version", version, "error", errorText(err))
+	s.log.Info("configuration-copied", "from", from.String(), "version", version, "error", daemon.ErrorText(err))
 	if err == nil {
 		s.take(data, from.String())
 	}
--- a/cmd/greengagedyke/sidecar.go
+++ b/cmd/greengagedyke/sidecar.go
@@ -47,6 +47,10 @@
 	if err := settings.Load(c.Settings, cfg); err != nil {
 		return err
 	}
+	cfg.Reload = func() (*sidecar.FlowSettings, error) {
+		now := &sidecar.FlowSettings{}
+		return now, settings.Load(c.Settings, now)
+	}
 	ctx, abort := lifetime()
 	log, flush := logs.New(os.Stdout)
 	defer flush()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -117,3 +117,11 @@
 	}
 	return c
 }
+
+// ErrorText is the text of an error for a log, empty if there is none.
+func ErrorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -53,6 +53,9 @@
 			r.log.Info("balancer-registered", "address", addr.String(), "lease", uint64(lease))
 			err = r.renew(ctx, lease)
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		if up || errors.Is(err, platform.ErrNoLease) {
 			r.log.Warn("registration-lost", "address", addr.String(), "error", err.Error())
 		}
--- a/sidecar/flow_settings.go
+++ b/sidecar/flow_settings.go
@@ -37,6 +37,21 @@
 	FlowLimit service.Duration `json:"flow-limit"`
 	// Metrics is an HTTP address for metrics; none if empty.
 	Metrics netip.AddrPort `json:"metrics-address,omitempty"`
+	// Reload reads the settings as they stand now; nil if they cannot change.
+	Reload func() (*FlowSettings, error) `json:"-"`
+}
+
+// serves reports whether an upstream of a service may run on this VM: as the process
+// was started, or as the settings stand now, since addresses are used again.
+func (s *FlowSettings) serves(service string) (bool, error) {
+	if service == s.Service || s.Reload == nil {
+		return service == s.Service, nil
+	}
+	now, err := s.Reload()
+	if err != nil {
+		return false, err
+	}
+	return service == now.Service, nil
 }
 
 // Defaults implements settings.Checked.
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -165,6 +165,10 @@
 // Heartbeat implements platform.Upstreams.
 func (f *Flows) Heartbeat(b flow.Heartbeat) error {
 	f.counters.Reports.Inc(1)
+	if ok, err := f.cfg.serves(b.Service); !ok {
+		f.log.Warn("heartbeat-refused", "upstream", b.ID, "service", b.Service, "serves", f.cfg.Service, "error", daemon.ErrorText(err))
+		return errors.Errorf("heartbeat: no upstream of service %q runs here", b.Service)
+	}
 	now := f.clock.Sync()
 	f.mu.Lock()
 	before := f.holder.State(now)
