--- a/flow/place.go
+++ b/flow/place.go
@@ -22,7 +22,7 @@
 	}
 	best := s.best(ranks, hash, known.addr, now)
 	if best == nil {
-		return refused(p, ReasonNoMember)
+		return s.withoutMember(p, now)
 	}
 	v.Path.To = best.Addr
 	for rank := range ranks.depth {
--- a/flow/steering.go
+++ b/flow/steering.go
@@ -251,15 +251,15 @@
 		return s.search(p, Path{}, hash, known, now)
 	}
 	if route == nil {
-		return withoutRoute(p)
+		return refused(p, ReasonNoRoute)
 	}
 	share := route.Share(hash)
 	if share == nil {
-		return withoutRoute(p)
+		return refused(p, ReasonNoRoute)
 	}
 	ranks := s.ranking(share.Tag)
 	if ranks == nil {
-		return refused(p, ReasonNoMember)
+		return s.withoutMember(p, now)
 	}
 	if p.Opening() {
 		return s.place(p, ranks, Path{Tag: share.Tag, Terms: route.Terms}, hash, known, now)
@@ -274,7 +274,14 @@
 	return ok && m.Load.Start == known.start
 }
 
-func withoutRoute(p *Packet) Verdict { return refused(p, ReasonNoRoute) }
+// withoutMember refuses a flow that no member takes. While not all members are known,
+// it keeps silent: the next copy may be served.
+func (s *Steering) withoutMember(p *Packet, now time.Time) Verdict {
+	if !s.settled(now) {
+		return Verdict{Action: ActionDrop, Reason: ReasonNoMember}
+	}
+	return refused(p, ReasonNoMember)
+}
 
 // refused resets a flow that was not opened; packets of others are dropped, since the
 // flow may be open somewhere.
--- a/flow/steering_test.go
+++ b/flow/steering_test.go
@@ -71,6 +71,21 @@
 	}
 }
 
+// A balancer that has just started refuses nothing for want of sidecars: the caller's
+// next copy may be served. Once all members are known, it refuses at once.
+func TestOpeningWithoutMembers(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(0, now)
+	s.Report(member(0), Load{Start: 1, Sequence: 1, Tag: TagOf(testName), State: StateWaiting}, now)
+	if v := s.Decide(openingPacket(0), now); v.Action != ActionDrop || v.Reason != ReasonNoMember {
+		t.Errorf("%v, %v before the members are known", v.Action, v.Reason)
+	}
+	now = now.Add(settledAfter + time.Millisecond)
+	if v := s.Decide(openingPacket(0), now); v.Action != ActionReset || v.Reason != ReasonNoMember {
+		t.Errorf("%v, %v when no member takes flows", v.Action, v.Reason)
+	}
+}
+
 // A later copy goes to another sidecar, since the first did not answer.
 func TestCopyGoesElsewhere(t *testing.T) {
 	now := time.Unix(100, 0)
