Count only searches that began when all members were known

Now a search counts only if the members of the system were known when it began. TestSearchBeforeTheMembersWereKnown fails without it.

--- a/flow/locations.go
+++ b/flow/locations.go
@@ -21,8 +21,8 @@
 	start uint64
 	// tries counts the searches.
 	tries uint8
-	// asked is the number of paths of the newest search if they reach all members,
-	// missed the number of those that ended without the flow.
+	// asked is the number of paths of the newest search if they reach all members of
+	// the system, missed the number of those that ended without the flow.
 	asked, missed uint8
 	// ack is what the caller acknowledged last when it was searched.
 	ack uint32
--- a/flow/search.go
+++ b/flow/search.go
@@ -29,7 +29,7 @@
 	}
 	n := (len(order) + searchHops - 1) / searchHops
 	next := location{addr: known.addr, tries: known.tries + 1, ack: p.Ack}
-	if len(order) == len(s.members) {
+	if len(order) == len(s.members) && s.settled(now) {
 		next.asked = uint8(n)
 	}
 	s.flows.put(p.Key, next, now)
