--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"greengagedyke/control"
+	"greengagedyke/daemon"
 	"greengagedyke/fabric"
 	"greengagedyke/keys"
 	"greengagedyke/member"
@@ -90,7 +91,8 @@
 	client, closeClient := platform.New(b.cfg.Store, registry)
 	defer closeClient()
 	store := platform.NewConfigurations(client)
-	defer b.startAll(context.WithoutCancel(ctx),
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer daemon.StartAll(life, end,
 		func(ctx context.Context) { session.Serve(ctx, b.log, sessions, credentials, b.node.Handle) },
 		func(ctx context.Context) { b.watchStore(ctx, store) },
 		func(ctx context.Context) {
@@ -105,25 +107,6 @@
 	return nil
 }
 
-// startAll runs each function in a goroutine and returns a function that ends them
-// and waits.
-func (*Balancer) startAll(ctx context.Context, functions ...func(context.Context)) func() {
-	ctx, end := context.WithCancel(ctx)
-	done := make(chan struct{})
-	for _, f := range functions {
-		go func() {
-			f(ctx)
-			done <- struct{}{}
-		}()
-	}
-	return func() {
-		end()
-		for range functions {
-			<-done
-		}
-	}
-}
-
 func (b *Balancer) record() member.Record {
 	return member.Record{
 		Role:          member.RoleBalancer,
--- a/cmd/greengagedyke/main.go
+++ b/cmd/greengagedyke/main.go
@@ -12,11 +12,12 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
+
+	"greengagedyke/daemon"
 )
 
 func main() {
@@ -113,18 +114,9 @@
 	if err != nil {
 		return errors.Wrap(err, "serveMetrics")
 	}
-	server := &http.Server{
-		ReadHeaderTimeout: time.Second,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("Content-Type", "application/json")
-			metrics.WriteJSONOnce(r, w)
-		}),
-	}
-	context.AfterFunc(ctx, func() { server.Close() })
-	go func() {
-		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			log.Error("metrics-failed", "error", err.Error())
-		}
-	}()
+	daemon.ServeHTTP(ctx, log, ln, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(r, w)
+	}))
 	return nil
 }
--- a/flow/configuration.go
+++ b/flow/configuration.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"greengagedyke/service"
 )
 
 // Tag is the number by which packets between processes name a service.
@@ -39,7 +41,7 @@
 	if total == 0 {
 		return nil
 	}
-	point := mix(hash) % total
+	point := service.Mix(hash) % total
 	for i := range r.Shares {
 		w := uint64(r.Shares[i].Weight)
 		if point < w {
@@ -58,11 +60,3 @@
 	// IdleTimeout is how long an open flow may be idle.
 	IdleTimeout time.Duration
 }
-
-// The finalizer of SplitMix64.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/flow/ranking.go
+++ b/flow/ranking.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"greengagedyke/service"
 )
 
 const (
@@ -37,9 +39,9 @@
 func (r *ranking) fill(b int) {
 	var scores [RankingDepth]uint64
 	n := 0
-	seed := mix(uint64(b))
+	seed := service.Mix(uint64(b))
 	for i, m := range r.members {
-		score := mix(m.seed ^ seed)
+		score := service.Mix(m.seed ^ seed)
 		if n == r.depth && score <= scores[n-1] {
 			continue
 		}
@@ -67,7 +69,7 @@
 // at later tries.
 func (r *ranking) order(hash uint64, likely netip.AddrPort, tries, most int, now time.Time) []netip.AddrPort {
 	members := r.window(hash, tries, most)
-	seed := mix(hash % rankingBuckets)
+	seed := service.Mix(hash % rankingBuckets)
 	class := func(m *Member) int {
 		switch {
 		case m.Addr == likely:
@@ -78,7 +80,7 @@
 		return 2
 	}
 	slices.SortFunc(members, func(a, b *Member) int {
-		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(mix(b.seed^seed), mix(a.seed^seed)))
+		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(service.Mix(b.seed^seed), service.Mix(a.seed^seed)))
 	})
 	addrs := make([]netip.AddrPort, len(members))
 	for i, m := range members {
@@ -113,5 +115,5 @@
 	ip := m.Addr.Addr().As4()
 	copy(b[:4], ip[:])
 	binary.BigEndian.PutUint16(b[4:], m.Addr.Port())
-	return mix(binary.BigEndian.Uint64(b[:]))
+	return service.Mix(binary.BigEndian.Uint64(b[:]))
 }
