Place flows in the own failure domain first; search the ranked members first

The eight ranked members of 45 were chosen by hash alone, one in six flows had none of its own domain among them; and a search asked all 77 sidecars with each packet, which after a rehash was half of all bytes. Now up to five ranks belong to the own domain, and with more than 16 members the first search goes to the ranked ones.

--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -24,7 +24,7 @@
 	// tellInterval is the time between lists of balancers to other balancers.
 	tellInterval = time.Second
 	// tellEvery is the number of reports of a sidecar between lists to it.
-	tellEvery = 8
+	tellEvery = 16
 	// forwardAfterStop is how long a stopped balancer goes on to forward, until the
 	// routers have chosen others.
 	forwardAfterStop = 2500 * time.Millisecond
--- a/flow/ranking.go
+++ b/flow/ranking.go
@@ -13,6 +13,9 @@
 const (
 	// rankingBuckets is the number of buckets of a ranking, a power of two.
 	rankingBuckets = 1024
+	// ownRanks is the number of ranks that members of the own failure domain have before
+	// all others.
+	ownRanks = 5
 	// RankingDepth is the number of members that a ranking orders in each bucket.
 	RankingDepth = 8
 )
@@ -26,30 +29,41 @@
 	buckets [][RankingDepth]uint16
 }
 
-func newRanking(members []*Member) *ranking {
+// newRanking ranks members for a balancer in a failure domain: those of the same domain
+// have the first ownRanks ranks.
+func newRanking(members []*Member, domain uint32) *ranking {
 	r := &ranking{members: members, depth: min(len(members), RankingDepth)}
+	own := 0
+	for _, m := range members {
+		if m.Load.Domain == domain {
+			own++
+		}
+	}
+	own = min(own, max(ownRanks, r.depth-(len(members)-own)))
 	r.buckets = make([][RankingDepth]uint16, rankingBuckets)
 	for b := range r.buckets {
-		r.fill(b)
+		r.fill(b, 0, own, func(m *Member) bool { return m.Load.Domain == domain })
+		r.fill(b, own, r.depth, func(m *Member) bool { return m.Load.Domain != domain })
 	}
 	return r
 }
 
-// fill orders the members with the highest scores of a bucket by insertion.
-func (r *ranking) fill(b int) {
+// fill gives the ranks from first to end of a bucket to the members with the highest
+// scores, by insertion.
+func (r *ranking) fill(b, first, end int, among func(*Member) bool) {
 	var scores [RankingDepth]uint64
-	n := 0
+	n := first
 	seed := service.Mix(uint64(b))
 	for i, m := range r.members {
 		score := service.Mix(m.seed ^ seed)
-		if n == r.depth && score <= scores[n-1] {
+		if first == end || !among(m) || n == end && score <= scores[n-1] {
 			continue
 		}
-		if n < r.depth {
+		if n < end {
 			n++
 		}
 		at := n - 1
-		for at > 0 && scores[at-1] < score {
+		for at > first && scores[at-1] < score {
 			scores[at] = scores[at-1]
 			r.buckets[b][at] = r.buckets[b][at-1]
 			at--
@@ -89,6 +103,20 @@
 	return addrs
 }
 
+// ranked returns the likely member and the ranked ones for a flow's hash.
+func (r *ranking) ranked(hash uint64, likely netip.AddrPort) []netip.AddrPort {
+	addrs := make([]netip.AddrPort, 0, RankingDepth+1)
+	if likely.IsValid() {
+		addrs = append(addrs, likely)
+	}
+	for rank := range r.depth {
+		if addr := r.at(hash, rank).Addr; addr != likely {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
 // window returns at most a number of members: the best ranked ones, and a part of the
 // others that moves with each try.
 func (r *ranking) window(hash uint64, tries, most int) []*Member {
--- a/flow/search.go
+++ b/flow/search.go
@@ -12,6 +12,9 @@
 	// number of paths that one packet takes.
 	searchHops  = 4
 	searchPaths = 16
+	// wideSearch is the number of members from which the first search for a flow only
+	// goes to the ranked ones, which hold nearly all.
+	wideSearch = 16
 	// settledAfter is how long no member may have joined before the members of the
 	// system count as known.
 	settledAfter = time.Second
@@ -52,7 +55,11 @@
 	const most = searchHops * searchPaths
 	tries := int(known.tries)
 	var order []netip.AddrPort
-	if own := s.ranking(tag); own != nil {
+	own := s.ranking(tag)
+	if own != nil && tries == 0 && len(s.members) > wideSearch {
+		return own.ranked(hash, known.addr)
+	}
+	if own != nil {
 		order = own.order(hash, known.addr, tries, most, now)
 	}
 	if len(s.members) > most {
--- a/flow/steering.go
+++ b/flow/steering.go
@@ -204,7 +204,7 @@
 	if list == nil {
 		return nil
 	}
-	s.ranks[tag] = newRanking(list)
+	s.ranks[tag] = newRanking(list, s.domain)
 	return s.ranks[tag]
 }
 
--- a/flow/steering_test.go
+++ b/flow/steering_test.go
@@ -139,6 +139,12 @@
 			s := testSteering(n, now)
 			report(s, 1000, otherName, 1, now)
 			v := s.Decide(dataPacket(), now)
+			if n > wideSearch {
+				if got := asked(&v); len(got) != RankingDepth {
+					t.Errorf("asked %d sidecars at first", len(got))
+				}
+				v = s.Decide(dataPacket(), now.Add(200*time.Millisecond))
+			}
 			if got := asked(&v); len(got) != n+1 {
 				t.Errorf("asked %d of %d sidecars", len(got), n+1)
 			}
