--- a/standin/store/values.go
+++ b/standin/store/values.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -185,3 +186,13 @@
 	s.wake()
 	return nil
 }
+
+// EndLeases ends all leases, as the platform may while it is away.
+func (s *Store) EndLeases() {
+	s.mu.Lock()
+	ids := slices.Collect(maps.Keys(s.leases))
+	s.mu.Unlock()
+	for _, id := range ids {
+		_ = s.Revoke(id) // it may have ended meanwhile
+	}
+}
