Do not take others for silent after the own VM was suspended

Found by reading: after a freeze of more than three seconds a balancer forgot all members, and for want of them refused opening packets until their next reports. Now the round after a suspension forgets nobody, and opening packets are dropped for 0.4 s, so that the caller's copy is served.

--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -29,9 +29,9 @@
 	// routers have chosen others.
 	forwardAfterStop = 2500 * time.Millisecond
 	// suspensionLimit is the suspension of the VM that is noticed, staleTime how long
-	// the packets that waited meanwhile take to be read.
+	// the packets that waited meanwhile take to be read and new reports to arrive.
 	suspensionLimit = 400 * time.Millisecond
-	staleTime       = 100 * time.Millisecond
+	staleTime       = 400 * time.Millisecond
 	// routeTrust is how old the last word of the store or a peer may be for an unknown
 	// route to be refused.
 	routeTrust = 3 * time.Second
@@ -174,16 +174,18 @@
 func (f *Flows) tick(ctx context.Context) {
 	t := time.NewTicker(tellInterval)
 	defer t.Stop()
+	suspended := f.clock.Suspended()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		suspended := f.clock.Suspended()
 		now := f.clock.Sync()
-		if lost := f.clock.Suspended() - suspended; lost > tellInterval {
-			f.log.Warn("vm-was-suspended", "for-ms", lost.Milliseconds())
+		if total := f.clock.Suspended(); total-suspended > suspensionLimit {
+			f.log.Warn("vm-was-suspended", "for-ms", (total - suspended).Milliseconds())
+			suspended = total
+			continue // the others were not silent, this VM was
 		}
 		f.mu.Lock()
 		lost := f.steering.Expire(now)
