Hand over waiting requests when a sidecar is stopped

Found by reading: a planned stop lost the requests that waited in the sidecar; their callers had to send them again. TestLeavingSidecarKeepsNothingBack fails without the change.

--- a/flow/arriving.go
+++ b/flow/arriving.go
@@ -41,6 +41,9 @@
 	if a.Packet.Length == 0 || f.waits || f.ended != 0 || f.repeats(&a.Packet) && !f.queued {
 		return false
 	}
+	if h.leaving && !f.queued {
+		return false
+	}
 	if !f.queued && (h.busy < h.limit() || h.gate.Last().Slots == 0) && h.queue.Len() == 0 {
 		return false
 	}
@@ -82,7 +85,8 @@
 
 // Release hands over the packets of requests that need not wait any longer.
 func (h *Holder) Release(now time.Time, deliver func(raw []byte)) {
-	for h.busy < h.limit() {
+	// A sidecar that leaves keeps nothing back.
+	for h.leaving || h.busy < h.limit() {
 		w := h.queue.next(now, h.service)
 		if w == nil {
 			return
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -305,6 +305,25 @@
 	}
 }
 
+// A sidecar that is stopped hands over what waits, and holds nothing from then on.
+func TestLeavingSidecarKeepsNothingBack(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	for i := range 4 {
+		request(t, h, i, now)
+	}
+	h.Leave()
+	var got []byte
+	h.Release(now, func(raw []byte) { got = append(got, raw...) })
+	if len(got) != 1 || got[0] != 3 {
+		t.Errorf("handed over %v, want request 3", got)
+	}
+	answer(h, 0, now)
+	d := data(601)
+	d.Packet.Key = keyOf(0)
+	d.Packet.Sequence = 151
+	want(t, h.FromTunnel(d, now), ActionUpstream, ReasonKnown)
+}
+
 // A request that is sent again after its answer began is not taken for a new one.
 func TestRepeatedBytesAreNoRequest(t *testing.T) {
 	h, now := testHolder(t, time.Second)
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -137,6 +137,7 @@
 	f.log.Info("sidecar-leaving", "identity", f.cfg.Identity)
 	f.mu.Lock()
 	f.holder.Leave()
+	f.holder.Release(f.clock.Now(), f.toUpstream)
 	f.mu.Unlock()
 	signal(f.changed)
 	select {
