--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -244,7 +244,7 @@
 func (f *Flows) packet(b, out []byte) {
 	var p flow.Packet
 	if err := f.codec.Parse(b, true, &p); err != nil {
-		f.counters.Unreadable.Inc(1)
+		f.counters.Refuse(err)
 		return
 	}
 	now := f.clock.Now()
@@ -306,7 +306,7 @@
 func (f *Flows) readTunnel() {
 	daemon.ReadUDP(f.tunnel, f.counters.NotSent, func(b []byte, from netip.AddrPort) {
 		if err := f.datagram(b, from); err != nil {
-			f.counters.Unreadable.Inc(1)
+			f.counters.Refuse(err)
 		}
 	})
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,8 +12,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
-
-	"greengagedyke/flow"
 )
 
 const (
@@ -92,32 +90,6 @@
 	return list
 }
 
-// Counters count packets by the reason of the decision about them.
-type Counters struct {
-	Reasons  [flow.ReasonCount]metrics.Counter
-	Received metrics.Counter
-	// Unreadable counts datagrams that could not be read, NotSent those that could
-	// not be sent.
-	Unreadable metrics.Counter
-	NotSent    metrics.Counter
-	// Reports counts what sidecars or upstreams said of themselves.
-	Reports metrics.Counter
-}
-
-// NewCounters registers the counters.
-func NewCounters(r metrics.Registry) *Counters {
-	c := &Counters{
-		Received:   metrics.GetOrRegisterCounter("packets.received", r),
-		Unreadable: metrics.GetOrRegisterCounter("packets.unreadable", r),
-		NotSent:    metrics.GetOrRegisterCounter("datagrams.not-sent", r),
-		Reports:    metrics.GetOrRegisterCounter("reports.received", r),
-	}
-	for i := range c.Reasons {
-		c.Reasons[i] = metrics.GetOrRegisterCounter("packets."+flow.Reason(i).String(), r)
-	}
-	return c
-}
-
 // ErrorText is the text of an error for a log, empty if there is none.
 func ErrorText(err error) string {
 	if err == nil {
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -292,7 +292,7 @@
 	daemon.ReadUDP(f.tunnel, f.counters.NotSent, func(b []byte, _ netip.AddrPort) {
 		f.counters.Received.Inc(1)
 		if err := f.datagram(b, out); err != nil {
-			f.counters.Unreadable.Inc(1)
+			f.counters.Refuse(err)
 		}
 	})
 }
@@ -357,7 +357,7 @@
 	var p flow.Packet
 	bounced := f.codec.Bounced(raw)
 	if err := f.codec.Parse(raw, bounced, &p); err != nil {
-		f.counters.Unreadable.Inc(1)
+		f.counters.Refuse(err)
 		return
 	}
 	if bounced {
