--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -143,7 +143,7 @@
 	}
 	b.log.Info("balancer-leaving")
 	b.node.UpdateSelf(func(r *member.Record) { r.State = member.StateLeaving })
-	pause(abort, leaveNotice)
+	daemon.Pause(abort, leaveNotice)
 	b.node.UpdateSelf(func(r *member.Record) { r.State = member.StateGone })
 	b.announcer.Announce()
 }
@@ -161,7 +161,7 @@
 func (b *Balancer) watchStore(ctx context.Context, store *platform.Configurations) {
 	for ctx.Err() == nil {
 		if !b.node.IsStoreReader() {
-			pause(ctx, storePause)
+			daemon.Pause(ctx, storePause)
 			continue
 		}
 		cfg, err := store.Watch(ctx, b.node.Configuration().Revision)
@@ -171,18 +171,11 @@
 		case errors.Is(err, platform.ErrUnchanged):
 		default:
 			b.log.Debug("store-unavailable", "error", err.Error())
-			pause(ctx, storePause)
+			daemon.Pause(ctx, storePause)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // follow puts changes of configuration and membership in force until ctx ends.
 func (b *Balancer) follow(ctx context.Context) {
 	t := time.NewTicker(updateInterval)
--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -73,7 +73,9 @@
 }
 
 func (f *Flows) run(ctx, abort context.Context, r metrics.Registry) error {
-	closeSockets, err := f.listen()
+	var closeSockets func()
+	var err error
+	f.packets, f.tunnel, closeSockets, err = daemon.ListenPair(f.cfg.Packets, f.cfg.Tunnel)
 	if err != nil {
 		return err
 	}
@@ -113,30 +115,11 @@
 	return nil
 }
 
-// listen opens the sockets for packets and returns what closes them.
-func (f *Flows) listen() (func(), error) {
-	var err error
-	if f.packets, err = daemon.ListenUDP(f.cfg.Packets); err != nil {
-		return nil, err
-	}
-	if f.tunnel, err = daemon.ListenUDP(f.cfg.Tunnel); err != nil {
-		f.packets.Close()
-		return nil, err
-	}
-	return func() {
-		f.packets.Close()
-		f.tunnel.Close()
-	}, nil
-}
-
 // leave forwards until the routers have chosen other balancers.
 func (f *Flows) leave(abort context.Context) {
 	f.log.Info("balancer-leaving", "identity", f.cfg.Identity)
 	f.leaving.Store(true)
-	select {
-	case <-abort.Done():
-	case <-time.After(forwardAfterStop):
-	}
+	daemon.Pause(abort, forwardAfterStop)
 }
 
 // ready reports whether routers may send packets.
--- a/balancer/source.go
+++ b/balancer/source.go
@@ -112,7 +112,7 @@
 			s.log.Warn("store-reached", "reached", reached, "error", daemon.ErrorText(err))
 		}
 		if !reached {
-			pause(ctx, configurationPause)
+			daemon.Pause(ctx, configurationPause)
 		}
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,6 +35,21 @@
 	return conn, nil
 }
 
+// ListenPair opens two UDP sockets and returns what closes both.
+func ListenPair(a, b netip.AddrPort) (first, second *net.UDPConn, closeBoth func(), err error) {
+	if first, err = ListenUDP(a); err != nil {
+		return nil, nil, nil, err
+	}
+	if second, err = ListenUDP(b); err != nil {
+		first.Close()
+		return nil, nil, nil, err
+	}
+	return first, second, func() {
+		first.Close()
+		second.Close()
+	}, nil
+}
+
 // ReadUDP hands each datagram to handle until the socket is closed. The bytes are only
 // valid during the call.
 func ReadUDP(conn *net.UDPConn, failed metrics.Counter, handle func(b []byte, from netip.AddrPort)) {
@@ -90,6 +105,14 @@
 	return list
 }
 
+// Pause waits for a time, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // ErrorText is the text of an error for a log, empty if there is none.
 func ErrorText(err error) string {
 	if err == nil {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"greengagedyke/daemon"
 	"greengagedyke/platform"
 )
 
@@ -61,7 +62,7 @@
 		}
 		up = err == nil || errors.Is(err, platform.ErrNoLease)
 		if !up {
-			pause(ctx, retryPause)
+			daemon.Pause(ctx, retryPause)
 		}
 	}
 }
@@ -81,7 +82,7 @@
 func (r *Registry) renew(ctx context.Context, lease platform.Lease) error {
 	interval := keepInterval
 	for {
-		pause(ctx, interval)
+		daemon.Pause(ctx, interval)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -106,7 +107,7 @@
 			return
 		}
 		r.log.Warn("balancers-not-read", "error", err.Error())
-		pause(ctx, retryPause)
+		daemon.Pause(ctx, retryPause)
 	}
 }
 
@@ -115,7 +116,7 @@
 func (r *Registry) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.Read(ctx)
-		pause(ctx, readInterval)
+		daemon.Pause(ctx, readInterval)
 	}
 }
 
@@ -129,10 +130,3 @@
 	}
 	return addrs
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -79,7 +79,9 @@
 }
 
 func (f *Flows) run(ctx, abort context.Context, r metrics.Registry) error {
-	closeSockets, err := f.listen()
+	var closeSockets func()
+	var err error
+	f.tunnel, f.outbound, closeSockets, err = daemon.ListenPair(f.cfg.Tunnel, f.cfg.Outbound)
 	if err != nil {
 		return err
 	}
@@ -117,22 +119,6 @@
 	return nil
 }
 
-// listen opens the sockets for packets and returns what closes them.
-func (f *Flows) listen() (func(), error) {
-	var err error
-	if f.tunnel, err = daemon.ListenUDP(f.cfg.Tunnel); err != nil {
-		return nil, err
-	}
-	if f.outbound, err = daemon.ListenUDP(f.cfg.Outbound); err != nil {
-		f.tunnel.Close()
-		return nil, err
-	}
-	return func() {
-		f.tunnel.Close()
-		f.outbound.Close()
-	}, nil
-}
-
 func (f *Flows) leave(abort context.Context) {
 	f.log.Info("sidecar-leaving", "identity", f.cfg.Identity)
 	f.mu.Lock()
@@ -140,10 +126,7 @@
 	f.holder.Release(f.clock.Now(), f.toUpstream)
 	f.mu.Unlock()
 	signal(f.changed)
-	select {
-	case <-abort.Done():
-	case <-time.After(leaveDelay):
-	}
+	daemon.Pause(abort, leaveDelay)
 }
 
 func signal(c chan struct{}) {
