Find processes that are lost with their other homes

Change: a witness whose word is not refuted for 12 s votes again. A living process hears of the first vote through its other homes and refutes it.

--- a/control/answer.go
+++ b/control/answer.go
@@ -25,6 +25,9 @@
 	// A process is missed after this many intervals and a while.
 	missedIntervals = 3
 	missedAfter     = 500 * time.Millisecond
+	// refuteTime is how long a process that is missed has to refute it: until another
+	// balancer hears of the witness, tells the process, and its answer has spread.
+	refuteTime = 12 * time.Second
 	// maxMismatches is the number of announcements in a row after which differing
 	// views are sent whole.
 	maxMismatches = 4
@@ -225,8 +228,32 @@
 		if n.view.Witness(id, n.self.Identity, now) {
 			n.log.Warn("member-silent", "member", id)
 			n.ring.Add(timeline.Event{Kind: timeline.KindMemberSilent, Upstream: id})
+			n.missed[id] = now
 			n.notify()
 		}
 	}
+	n.voteAgain(now)
 	n.view.Expire(now)
 }
+
+// voteAgain adds a second vote of this balancer against processes that did not refute
+// the first: the others that they announced themselves to may be lost as well.
+func (n *Node) voteAgain(now time.Time) {
+	for id, at := range n.missed {
+		o, ok := n.view.Find(id)
+		if !ok || o.State == member.StateGone || !slices.Contains(o.Witnesses, n.self.Identity) {
+			delete(n.missed, id)
+			continue
+		}
+		if now.Sub(at) < refuteTime {
+			continue
+		}
+		delete(n.missed, id)
+		if n.view.Witness(id, n.self.Identity+secondVote, now) {
+			n.notify()
+		}
+	}
+}
+
+// secondVote marks the second vote of a witness.
+const secondVote = " (not refuted)"
--- a/control/node.go
+++ b/control/node.go
@@ -30,6 +30,8 @@
 	changed chan struct{}
 	// direct are the processes that announce themselves here.
 	direct map[string]*direct
+	// missed are the processes that this balancer is a witness against, and since when.
+	missed map[string]time.Time
 	// mismatches counts the announcements in a row whose digest differed, by peer.
 	mismatches map[string]int
 	reports    map[string]storedReport
@@ -55,6 +57,7 @@
 		history:    service.NewHistory(),
 		changed:    make(chan struct{}),
 		direct:     map[string]*direct{},
+		missed:     map[string]time.Time{},
 		mismatches: map[string]int{},
 		reports:    map[string]storedReport{},
 	}
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -213,15 +214,23 @@
 	gone := map[string]bool{f.balancers[4].node.Self().Identity: true, f.sidecars[0].node.Self().Identity: true}
 	lost := append(f.balancers[4:], f.sidecars[0])
 	f.balancers, f.sidecars = f.balancers[:4], f.sidecars[1:]
+	var wrong []string
+	defer func() {
+		if t.Failed() {
+			t.Log(strings.Join(wrong, "\n"))
+		}
+	}()
 	f.await("finding the lost", 30*time.Second, func() bool {
+		wrong = nil
 		for _, b := range f.balancers {
 			for _, o := range b.node.Members() {
 				if o.Alive() == gone[o.Identity] {
-					return false
+					wrong = append(wrong, fmt.Sprintf("%s of %s: sequence %d, homes %d, witnesses %v",
+						b.node.Self().Identity, o.Identity, o.Sequence, o.Homes, o.Witnesses))
 				}
 			}
 		}
-		return true
+		return len(wrong) == 0
 	})
 	if len(lost) != 2 {
 		t.Fatal("the test lost something else")
