Balancers introduce themselves to sidecars that only others know

Cause: TestFlowsSurviveBalancers failed 3 times in 64 runs with 12 at once. The logs, now printed by a failing test, show a sidecar whose first report was lost because the first balancer was not up yet: it was told of the second balancer only at its 17th report. When the first balancer had stopped, the second one knew two of three sidecars, asked both and gave up flows of the third. Ruled out: members forgotten after 3 s of silence (no such line). Change: a balancer answers a sidecar's first report with the balancers it knows; it names its sidecars to a balancer that knows fewer, which introduces itself to them; while a named sidecar has not reported, no flow is given up. Second finding of the same runs, 2 in 128: a restarted balancer could not bind the port of its readiness. ServeHTTP left the closing of its listener to a goroutine; it now returns when the port is free.

--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,8 +98,8 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	f.mention(daemon.Tunnels(f.cfg.Peers, f.cfg.Tunnel.Port()))
 	f.log.Info("balancer-started", "identity", f.cfg.Identity, "failure-domain", f.cfg.FailureDomain)
-	daemon.ServeHTTP(life, f.log, ready, platform.ReadyHandler(f.ready))
 	wait := daemon.StartAll(life, end,
+		func(ctx context.Context) { daemon.ServeHTTP(ctx, f.log, ready, platform.ReadyHandler(f.ready)) },
 		f.source.watch,
 		func(ctx context.Context) { f.source.serve(ctx, shared) },
 		func(ctx context.Context) { reg.Keep(ctx, f.cfg.Tunnel) },
@@ -324,6 +325,12 @@
 			return err
 		}
 		f.peer(from, &l)
+	case peer.KindSidecars:
+		addrs, err := peer.ParseSidecars(body)
+		if err != nil {
+			return err
+		}
+		f.rumour(addrs, from)
 	default:
 		return peer.ErrForeign
 	}
@@ -339,7 +346,7 @@
 		f.log.Info("sidecar-state", "address", from.String(), "state", l.State.String(),
 			"start", l.Start, "sequence", l.Sequence)
 	}
-	if l.Sequence%tellEvery == 1 {
+	if changed || l.Sequence%tellEvery == 1 {
 		f.send(f.balancersMessage(), from)
 	}
 }
@@ -385,5 +392,31 @@
 	f.source.heard(from, l, version)
 	if l.Sidecars < members {
 		f.send(f.balancersMessage(), from)
+		f.tellOfSidecars(from)
+	}
+}
+
+// tellOfSidecars names all sidecars to a balancer that knows fewer.
+func (f *Flows) tellOfSidecars(to netip.AddrPort) {
+	f.mu.Lock()
+	addrs := f.steering.Addresses()
+	f.mu.Unlock()
+	for part := range slices.Chunk(addrs, peer.MaxAddrs) {
+		f.send(peer.AppendSidecars(nil, part), to)
+	}
+}
+
+// rumour introduces this balancer to sidecars that only another one knows.
+func (f *Flows) rumour(addrs []netip.AddrPort, from netip.AddrPort) {
+	f.mu.Lock()
+	unknown := f.steering.Rumour(addrs, f.clock.Now())
+	f.mu.Unlock()
+	if len(unknown) == 0 {
+		return
+	}
+	f.log.Info("sidecars-rumoured", "count", len(unknown), "first", unknown[0].String(), "by", from.String())
+	message := f.balancersMessage()
+	for _, addr := range unknown {
+		f.send(message, addr)
 	}
 }
--- a/cmd/greengagedyke/main.go
+++ b/cmd/greengagedyke/main.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return errors.Wrap(err, "serveMetrics")
 	}
-	daemon.ServeHTTP(ctx, log, ln, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	go daemon.ServeHTTP(ctx, log, ln, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(r, w)
 	}))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,15 +67,19 @@
 	}
 }
 
-// ServeHTTP serves until ctx ends.
+// ServeHTTP serves until ctx ends. When it returns, the listener's port is free.
 func ServeHTTP(ctx context.Context, log *slog.Logger, ln net.Listener, h http.Handler) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	context.AfterFunc(ctx, func() { server.Close() })
+	served := make(chan struct{})
 	go func() {
+		defer close(served)
 		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			log.Error("http-server-failed", "address", ln.Addr().String(), "error", err.Error())
 		}
 	}()
+	<-ctx.Done()
+	server.Close()
+	<-served
 }
 
 // StartAll runs each function in a goroutine and returns a function that ends them
--- a/flow/search.go
+++ b/flow/search.go
@@ -116,9 +116,26 @@
 	s.peerHeard = now
 }
 
+// Rumour takes in the members that another balancer knows, and returns those that
+// are not known here. Flows that they may hold are not given up.
+func (s *Steering) Rumour(addrs []netip.AddrPort, now time.Time) []netip.AddrPort {
+	var unknown []netip.AddrPort
+	for _, addr := range addrs {
+		if _, ok := s.members[addr]; ok {
+			continue
+		}
+		s.rumoured[addr] = now
+		unknown = append(unknown, addr)
+	}
+	return unknown
+}
+
 // settled reports whether all members of the system are known.
 func (s *Steering) settled(now time.Time) bool {
 	since := now.Sub(s.grown)
+	if len(s.rumoured) > 0 {
+		return false
+	}
 	if now.Sub(s.peerHeard) > forgetAfter {
 		return since > peerPatience
 	}
--- a/flow/steering.go
+++ b/flow/steering.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 )
@@ -107,6 +108,8 @@
 	unansweredAfter = 120 * time.Millisecond
 	// forgetAfter is how long a silent member is kept: it may still hold flows.
 	forgetAfter = 3 * time.Second
+	// rumourAge is how long a member that only other balancers know is waited for.
+	rumourAge = 5 * time.Second
 )
 
 // Steering decides for a balancer. It is not safe for concurrent use.
@@ -123,6 +126,9 @@
 	grown       time.Time
 	peerMembers int
 	peerHeard   time.Time
+	// rumoured are members that another balancer named lately and that did not report
+	// here yet.
+	rumoured map[netip.AddrPort]time.Time
 }
 
 // NewSteering returns the decisions of a balancer in a failure domain.
@@ -133,6 +139,8 @@
 		members: map[netip.AddrPort]*Member{},
 		ranks:   map[Tag]*ranking{},
 		flows:   newLocations(),
+
+		rumoured: map[netip.AddrPort]time.Time{},
 	}
 }
 
@@ -173,6 +181,7 @@
 	m.unanswered = time.Time{}
 	if !ok {
 		s.grown = now
+		delete(s.rumoured, from)
 	}
 	return changed
 }
@@ -187,6 +196,7 @@
 			lost = append(lost, addr)
 		}
 	}
+	maps.DeleteFunc(s.rumoured, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > rumourAge })
 	return lost
 }
 
--- a/flow/steering_test.go
+++ b/flow/steering_test.go
@@ -197,6 +197,31 @@
 	}
 }
 
+// A member that only a balancer which has stopped since knew may hold the flow: nothing
+// is given up until the member has reported and been asked, or is long gone.
+func TestRumouredMember(t *testing.T) {
+	start := time.Unix(100, 0)
+	s := testSteering(2, start)
+	if unknown := s.Rumour([]netip.AddrPort{member(1), member(7)}, start); !slices.Equal(unknown, []netip.AddrPort{member(7)}) {
+		t.Errorf("unknown: %v", unknown)
+	}
+	ask := func(now time.Time) bool {
+		for i := range 2 {
+			report(s, i, testName, uint32(now.Unix()), now)
+		}
+		s.Expire(now)
+		v := s.Decide(dataPacket(), now)
+		_, lost := s.Missed(testKey, member(1), v.Path.Search, now)
+		return lost
+	}
+	if ask(start.Add(forgetAfter + time.Second)) {
+		t.Error("given up though a member was not asked")
+	}
+	if !ask(start.Add(rumourAge + time.Second)) {
+		t.Error("never given up")
+	}
+}
+
 // A search that did not ask members that were found while it ran gives nothing up.
 func TestSearchBeforeTheMembersWereKnown(t *testing.T) {
 	now := time.Unix(100, 0)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -29,6 +29,8 @@
 	KindMissed
 	// KindBalancers lists balancers.
 	KindBalancers
+	// KindSidecars lists sidecars that a balancer knows, for one that knows fewer.
+	KindSidecars
 )
 
 // Errors of datagrams.
@@ -56,8 +58,8 @@
 	balancersSize = 8 + 4 + 1
 	// MaxHead is the largest number of bytes before a packet.
 	MaxHead = commonSize + pathSize + flow.RankingDepth*addressSize
-	// maxBalancers bounds a list of balancers.
-	maxBalancers = 200
+	// MaxAddrs bounds a list of balancers or sidecars.
+	MaxAddrs = 200
 )
 
 // KindOf returns the kind of a datagram and its body.
@@ -214,7 +216,7 @@
 		reached = 1
 	}
 	b = append(b, reached)
-	for _, a := range l.Addrs[:min(len(l.Addrs), maxBalancers)] {
+	for _, a := range l.Addrs[:min(len(l.Addrs), MaxAddrs)] {
 		b = appendAddr(b, a)
 	}
 	return b
@@ -230,8 +232,32 @@
 		Sidecars:     int(binary.BigEndian.Uint32(b[8:])),
 		StoreReached: b[12] == 1,
 	}
-	for rest := b[balancersSize:]; len(rest) > 0; rest = rest[addressSize:] {
-		l.Addrs = append(l.Addrs, addrFrom(rest))
-	}
+	l.Addrs = addrsFrom(b[balancersSize:])
 	return l, nil
 }
+
+// addrsFrom reads a list of addresses that fills b.
+func addrsFrom(b []byte) []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for ; len(b) >= addressSize; b = b[addressSize:] {
+		addrs = append(addrs, addrFrom(b))
+	}
+	return addrs
+}
+
+// AppendSidecars appends a list of sidecars; a longer one than fits is cut.
+func AppendSidecars(b []byte, addrs []netip.AddrPort) []byte {
+	b = append(b, magic, byte(KindSidecars))
+	for _, a := range addrs[:min(len(addrs), MaxAddrs)] {
+		b = appendAddr(b, a)
+	}
+	return b
+}
+
+// ParseSidecars reads the body of a KindSidecars.
+func ParseSidecars(b []byte) ([]netip.AddrPort, error) {
+	if len(b)%addressSize != 0 {
+		return nil, ErrTruncated
+	}
+	return addrsFrom(b), nil
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -3,9 +3,12 @@
 import (
 	"net/netip"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"greengagedyke/flow"
 	"greengagedyke/peer"
 )
@@ -71,6 +74,17 @@
 	}
 }
 
+func TestSidecars(t *testing.T) {
+	want := []netip.AddrPort{a1, a2}
+	got, err := peer.ParseSidecars(body(t, peer.AppendSidecars(nil, want), peer.KindSidecars))
+	if err != nil || !slices.Equal(got, want) {
+		t.Errorf("got %v, %v", got, err)
+	}
+	if _, err := peer.ParseSidecars(make([]byte, 7)); !errors.Is(err, peer.ErrTruncated) {
+		t.Errorf("cut list: %v", err)
+	}
+}
+
 // Any bytes are parsed or refused.
 func FuzzDatagram(f *testing.F) {
 	f.Add(peer.AppendPacket(nil, &flow.Path{N: 2, Next: [flow.RankingDepth]netip.AddrPort{a1, a2}}, 0, a1, false))
@@ -89,5 +103,6 @@
 		_, _ = peer.ParseHeld(rest)
 		_, _, _ = peer.ParseMissed(rest)
 		_, _ = peer.ParseBalancers(rest)
+		_, _ = peer.ParseSidecars(rest)
 	})
 }
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -102,9 +102,10 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	f.log.Info("sidecar-started", "identity", f.cfg.Identity, "service", f.cfg.Service)
 	f.mention(daemon.Tunnels(f.cfg.Peers, f.cfg.BalancerPort))
-	daemon.ServeHTTP(life, f.log, ready, platform.ReadyHandler(func() bool { return ctx.Err() == nil }))
-	daemon.ServeHTTP(life, f.log, beats, platform.HeartbeatHandler(f))
+	takesWork := func() bool { return ctx.Err() == nil }
 	wait := daemon.StartAll(life, end,
+		func(ctx context.Context) { daemon.ServeHTTP(ctx, f.log, ready, platform.ReadyHandler(takesWork)) },
+		func(ctx context.Context) { daemon.ServeHTTP(ctx, f.log, beats, platform.HeartbeatHandler(f)) },
 		reg.Read,
 		f.tick,
 		f.watchOverdue,
--- a/standin/ends/flows_test.go
+++ b/standin/ends/flows_test.go
@@ -1,11 +1,14 @@
 package ends_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
+	"net"
 	"net/netip"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +16,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"greengagedyke/balancer"
+	"greengagedyke/flow"
+	"greengagedyke/peer"
 	"greengagedyke/platform"
 	"greengagedyke/sidecar"
 	"greengagedyke/standin/block"
@@ -54,6 +59,7 @@
 	sidecars  [3]*daemon
 	upstreams [3]*ends.Upstream
 	stops     [3]func()
+	logs      logs
 }
 
 func newSite(t *testing.T) *site {
@@ -100,6 +106,9 @@
 	for _, stop := range s.stops {
 		stop()
 	}
+	if s.t.Failed() {
+		s.t.Log(s.logs.String())
+	}
 }
 
 func (s *site) entry(i int) ends.Entry {
@@ -134,7 +143,29 @@
 	d.done <- nil
 }
 
-func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+// logger returns a logger whose lines are printed if the test fails.
+func (s *site) logger() *slog.Logger {
+	return slog.New(slog.NewTextHandler(&s.logs, nil))
+}
+
+// logs keeps log lines. It is safe for concurrent use.
+type logs struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *logs) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.Write(b)
+}
+
+func (l *logs) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.String()
+}
 
 func (s *site) startBalancer(i int) {
 	cfg := &balancer.FlowSettings{
@@ -144,8 +175,9 @@
 		Store:  s.block.Addr(0, 2, storePort),
 		Peers:  []netip.AddrPort{s.block.Addr(kindBalancer, 1, controlPort)},
 	}
+	log := s.logger().With("process", cfg.Identity)
 	s.balancers[i] = start(func(ctx, abort context.Context) error {
-		return balancer.RunFlows(ctx, abort, quiet(), cfg, metrics.NewRegistry())
+		return balancer.RunFlows(ctx, abort, log, cfg, metrics.NewRegistry())
 	})
 }
 
@@ -163,8 +195,9 @@
 	}
 	cfg.Defaults()
 	check(s.t, cfg.Validate())
+	log := s.logger().With("process", cfg.Identity)
 	s.sidecars[i] = start(func(ctx, abort context.Context) error {
-		return sidecar.RunFlows(ctx, abort, quiet(), cfg, metrics.NewRegistry())
+		return sidecar.RunFlows(ctx, abort, log, cfg, metrics.NewRegistry())
 	})
 }
 
@@ -229,6 +262,34 @@
 	s.startBalancer(1)
 }
 
+// A sidecar whose first report was lost, so that only one balancer hears it, is found by
+// the other balancer before the first one stops.
+func TestBalancersIntroduceThemselves(t *testing.T) {
+	s := newSite(t)
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.block.Addr(kindSidecar, 9, packetsPort)))
+	check(t, err)
+	t.Cleanup(func() { conn.Close() })
+	l := flow.Load{Start: 1, Sequence: 2, Tag: flow.TagOf(core), State: flow.StateWaiting}
+	_, err = conn.WriteToUDPAddrPort(peer.AppendLoad(nil, &l), s.block.Addr(kindBalancer, 1, tunnelPort))
+	check(t, err)
+	check(t, conn.SetReadDeadline(time.Now().Add(2*time.Second)))
+	b := make([]byte, 2000)
+	for told := false; !told; {
+		n, from, err := conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			t.Fatal("nobody told the sidecar of the second balancer: ", err)
+		}
+		kind, body, err := peer.KindOf(b[:n])
+		check(t, err)
+		if kind != peer.KindBalancers {
+			t.Fatalf("kind %d from %v", kind, from)
+		}
+		list, err := peer.ParseBalancers(body)
+		check(t, err)
+		told = slices.Contains(list.Addrs, s.block.Addr(kindBalancer, 2, tunnelPort))
+	}
+}
+
 // Flows survive the restart of all sidecars in turn: their upstreams still hold them.
 func TestFlowsSurviveSidecars(t *testing.T) {
 	s := newSite(t)
