--- a/flow/arriving.go
+++ b/flow/arriving.go
@@ -19,7 +19,7 @@
 	}
 	f.terms = a.Path.Terms
 	r := Ruling{Action: ActionUpstream, Reason: ReasonKnown}
-	if a.Hop > 0 {
+	if a.Hop > 0 || a.Path.Search != 0 {
 		r.Tell = a.Origin
 	}
 	if h.holds(f, a, now) {
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -349,3 +349,18 @@
 	}
 	want(t, request(t, h, 9, now), ActionUpstream, ReasonKnown)
 }
+
+// The first sidecar that a search asks confirms the flow as well, so that the balancer
+// does not search for each of its packets.
+func TestSearchedFlowIsConfirmed(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	open(t, h, now)
+	if r := h.FromTunnel(data(501), now); r.Tell.IsValid() {
+		t.Errorf("told %v of a flow that the balancer knows", r.Tell)
+	}
+	a := data(501)
+	a.Path.Search = 1
+	if r := h.FromTunnel(a, now); r.Tell != testOrigin || r.Missed {
+		t.Errorf("told %v, want the balancer %v", r.Tell, testOrigin)
+	}
+}
