Take no slot for bytes that the upstream acknowledged; a reset denies a probed flow

Cause 1: after a restart of all sidecars, a caller's request reaches its upstream as the probe of an unknown flow. When the caller repeated the packet, the sidecar, which had not seen the first one, took it for a new request: a slot was held until the timeout though no answer would come. Change: what the upstream acknowledges counts as received. Cause 2: an upstream that starts answers a probe with a reset, which ended the path of the search without an answer: flows that nobody holds were told only with the caller's next packet, up to 1.6 s later. The reset now counts as a denial and the packet goes on. Ruled out: order of the queue (waits of callers that can still be in time were below 70 ms).

--- a/flow/answering.go
+++ b/flow/answering.go
@@ -11,7 +11,7 @@
 	if !ok || f.incarnation != h.incarnation {
 		if p.Flags.Has(FlagReset) {
 			// An upstream that starts resets packets that it is asked about.
-			return Ruling{Action: ActionDrop, Reason: ReasonNotOurs}
+			return h.strayed(p)
 		}
 		f = &held{first: p.Sequence - 1, answered: true, learnt: true, incarnation: h.incarnation}
 		h.flows[p.Key] = f
@@ -36,6 +36,7 @@
 		h.gate.answered()
 		h.observe(MeasureOpen, now.Sub(f.offered))
 	}
+	f.acknowledge(p)
 	if end := p.Sequence + uint32(p.Length) - f.first; end > f.sent && end < 1<<31 {
 		f.sent = end
 	}
@@ -52,6 +53,15 @@
 	}
 }
 
+// acknowledge notes which of the caller's bytes the upstream has: when they come again,
+// they are no request.
+func (f *held) acknowledge(p *Packet) {
+	if p.Flags.Has(FlagAck) && (!f.data || int32(p.Ack-f.next) > 0) {
+		f.next = p.Ack
+		f.data = true
+	}
+}
+
 // learn takes in how long the upstream took for a request.
 func (h *Holder) learn(f *held, now time.Time) {
 	if f.waits && !f.begun.IsZero() {
@@ -86,12 +96,12 @@
 // strayed sends the packet of a flow that the upstream was asked about on.
 func (h *Holder) strayed(p *Packet) Ruling {
 	s, ok := h.strangers[p.Key]
-	if !ok || p.Opening() {
+	if !ok || s.denied || p.Opening() {
 		return Ruling{Action: ActionDrop, Reason: ReasonBounced}
 	}
-	s.denied = true
-	h.strangers[p.Key] = s
-	r := pass(&s.arrival, ReasonUnknownFlow)
-	r.Arrival = &s.arrival
+	a := s.arrival
+	h.strangers[p.Key] = stranger{at: s.at, denied: true}
+	r := pass(&a, ReasonUnknownFlow)
+	r.Arrival = &a
 	return r
 }
--- a/flow/arriving.go
+++ b/flow/arriving.go
@@ -1,6 +1,9 @@
 package flow
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // FromTunnel decides about a caller's packet.
 func (h *Holder) FromTunnel(a *Arrival, now time.Time) Ruling {
@@ -225,7 +228,9 @@
 		a.Path.Unsure = true
 		return pass(a, ReasonUnknownFlow)
 	}
-	h.strangers[a.Packet.Key] = stranger{at: now, arrival: *a}
+	kept := *a
+	kept.Raw = slices.Clone(a.Raw)
+	h.strangers[a.Packet.Key] = stranger{at: now, arrival: kept}
 	return Ruling{Action: ActionUpstream, Reason: ReasonProbe}
 }
 
--- a/flow/holder.go
+++ b/flow/holder.go
@@ -63,7 +63,7 @@
 	Missed bool
 	// Search is the search that missed.
 	Search uint8
-	// Arrival is the packet's path if it came back from the upstream.
+	// Arrival is the caller's packet that the upstream answered, if that one is passed on.
 	Arrival *Arrival
 }
 
@@ -97,7 +97,8 @@
 	// the flow; it counts until the first request.
 	copies uint32
 	terms  Terms
-	// next is the sequence number after the caller's last byte, once it sent any.
+	// next is the sequence number after the caller's last byte that came or that the
+	// upstream acknowledged, once data is set.
 	next uint32
 	data bool
 	used time.Time
@@ -109,7 +110,8 @@
 
 // stranger is a flow that the upstream was asked about.
 type stranger struct {
-	at      time.Time
+	at time.Time
+	// arrival is the packet with which it was asked, until it has answered.
 	arrival Arrival
 	// denied is set once the upstream said that it does not hold the flow.
 	denied bool
@@ -213,6 +215,9 @@
 // End notes that the upstream with this ID ends.
 func (h *Holder) End(id string) bool { return h.gate.End(id) }
 
+// Ended reports whether the upstream said that it ends.
+func (h *Holder) Ended() bool { return h.gate.gone }
+
 // Leave makes the sidecar take no new flows.
 func (h *Holder) Leave() { h.leaving = true }
 
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -98,7 +98,7 @@
 	defer beats.Close()
 	client, closeClient := platform.New(f.cfg.Store, r)
 	defer closeClient()
-	reg := registry.New(f.log, client, f.mention)
+	reg := registry.New(f.log, client)
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	f.log.Info("sidecar-started", "identity", f.cfg.Identity, "service", f.cfg.Service)
 	f.mention(daemon.Tunnels(f.cfg.Peers, f.cfg.BalancerPort))
@@ -106,7 +106,8 @@
 	wait := daemon.StartAll(life, end,
 		func(ctx context.Context) { daemon.ServeHTTP(ctx, f.log, ready, platform.ReadyHandler(takesWork)) },
 		func(ctx context.Context) { daemon.ServeHTTP(ctx, f.log, beats, platform.HeartbeatHandler(f)) },
-		reg.Read,
+		func(ctx context.Context) { reg.ReadBalancers(ctx, f.mention) },
+		func(ctx context.Context) { reg.Keep(ctx, registry.RoleSidecar, f.cfg.Tunnel, f.upstreamEnded) },
 		f.tick,
 		f.watchOverdue,
 		func(context.Context) { f.readTunnel() },
@@ -130,6 +131,14 @@
 	daemon.Pause(abort, leaveDelay)
 }
 
+// upstreamEnded reports whether the upstream has ended, so that nobody has to look for
+// its flows here.
+func (f *Flows) upstreamEnded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holder.Ended()
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -352,6 +361,9 @@
 	r := f.holder.FromUpstream(&p, now)
 	f.holder.Release(now, f.toUpstream)
 	f.mu.Unlock()
+	if r.Arrival != nil {
+		raw = r.Arrival.Raw
+	}
 	f.act(raw, &p, r.Arrival, &r, out)
 }
 
