Name sidecars in the store, and decide again once all members are known

Change: sidecars keep their address in the store under a lease; a balancer that has heard all of them is settled after 0.1 s. A sidecar whose upstream ended takes its address out. A balancer that has just started no longer counts as settled because another new one knows nobody either (found by TestUndecided).

--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -49,7 +49,9 @@
 	codec    platform.Packets
 	counters *daemon.Counters
 	leaving  atomic.Bool
-	source   *configurationSource
+	// undecided are the packets to be decided about again.
+	undecided *undecided
+	source    *configurationSource
 	// suspended is how long the VM has been suspended, and staleUntil when packets
 	// that waited meanwhile have been read. Only the reader of packets uses them.
 	suspended  time.Duration
@@ -62,13 +64,16 @@
 // RunFlows runs a balancer of flows without a name of their own. When ctx ends, it
 // tells the routers to go elsewhere and forwards until they do, or until abort ends.
 func RunFlows(ctx, abort context.Context, log *slog.Logger, cfg *FlowSettings, r metrics.Registry) error {
+	c := clock.New()
 	f := &Flows{
 		cfg:      cfg,
 		log:      log,
-		clock:    clock.New(),
+		clock:    c,
 		known:    registry.NewKnown(cfg.Tunnel),
 		counters: daemon.NewCounters(r),
-		steering: flow.NewSteering(cfg.FailureDomain),
+		steering: flow.NewSteering(cfg.FailureDomain, c.Now()),
+
+		undecided: newUndecided(),
 	}
 	return errors.Wrap(f.run(ctx, abort, r), "balancer.RunFlows")
 }
@@ -94,7 +99,7 @@
 	client, closeClient := platform.New(f.cfg.Store, r)
 	defer closeClient()
 	f.source = newConfigurationSource(f.log, client, f.cfg.Tunnel, f.clock, f.configure)
-	reg := registry.New(f.log, client, f.mention)
+	reg := registry.New(f.log, client)
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	f.mention(daemon.Tunnels(f.cfg.Peers, f.cfg.Tunnel.Port()))
 	f.log.Info("balancer-started", "identity", f.cfg.Identity, "failure-domain", f.cfg.FailureDomain)
@@ -102,9 +107,10 @@
 		func(ctx context.Context) { daemon.ServeHTTP(ctx, f.log, ready, platform.ReadyHandler(f.ready)) },
 		f.source.watch,
 		func(ctx context.Context) { f.source.serve(ctx, shared) },
-		func(ctx context.Context) { reg.Keep(ctx, f.cfg.Tunnel) },
-		reg.Follow,
+		func(ctx context.Context) { reg.Keep(ctx, registry.RoleBalancer, f.cfg.Tunnel, stays) },
+		func(ctx context.Context) { reg.Follow(ctx, f.registered) },
 		f.tick,
+		f.decideAgain,
 		func(context.Context) { f.readPackets() },
 		func(context.Context) { f.readTunnel() },
 	)
@@ -116,6 +122,18 @@
 	return nil
 }
 
+// stays says that the address of a balancer which stops stays in the store until its
+// lease ends, since the process mostly starts again.
+func stays() bool { return false }
+
+// registered takes in the addresses that stand in the store.
+func (f *Flows) registered(l registry.Found) {
+	f.mention(l.Balancers)
+	f.mu.Lock()
+	f.steering.Registered(l.Sidecars)
+	f.mu.Unlock()
+}
+
 // leave forwards until the routers have chosen other balancers.
 func (f *Flows) leave(abort context.Context) {
 	f.log.Info("balancer-leaving", "identity", f.cfg.Identity)
@@ -239,8 +257,16 @@
 			return
 		}
 	}
+	if f.steer(&p, b, out, now) {
+		f.undecided.keep(p.Key, b, now)
+	}
+}
+
+// steer decides about a packet and carries the decision out. It reports whether the
+// packet has to be decided about again.
+func (f *Flows) steer(p *flow.Packet, b, out []byte, now time.Time) bool {
 	f.mu.Lock()
-	v := f.steering.Decide(&p, now)
+	v := f.steering.Decide(p, now)
 	version := f.steering.Configuration().Version
 	f.mu.Unlock()
 	f.counters.Reasons[v.Reason].Inc(1)
@@ -257,8 +283,9 @@
 		f.reset(p.Key, p.Ack)
 	}
 	if v.Reason != flow.ReasonKnown {
-		f.explain(&p, &v, version, now)
+		f.explain(p, &v, version, now)
 	}
+	return v.Undecided
 }
 
 // stale reports whether an opening packet may have waited while the VM was suspended:
--- a/flow/search.go
+++ b/flow/search.go
@@ -18,6 +18,8 @@
 	// settledAfter is how long no member may have joined before the members of the
 	// system count as known.
 	settledAfter = time.Second
+	// registeredAfter is the same time if all members that the store names are known.
+	registeredAfter = 100 * time.Millisecond
 	// peerPatience is how long a balancer that has heard no other one waits for one.
 	peerPatience = 2 * time.Second
 )
@@ -28,11 +30,12 @@
 func (s *Steering) search(p *Packet, path Path, hash uint64, known location, now time.Time) Verdict {
 	order := s.searchOrder(path.Tag, hash, known, now)
 	if len(order) == 0 {
-		return Verdict{Action: ActionDrop, Reason: ReasonNoMember}
+		return Verdict{Action: ActionDrop, Reason: ReasonNoMember, Undecided: true}
 	}
+	settled := s.settled(now)
 	n := (len(order) + searchHops - 1) / searchHops
 	next := location{addr: known.addr, tries: known.tries + 1, ack: p.Ack}
-	if len(order) == len(s.members) && s.settled(now) {
+	if len(order) == len(s.members) && settled {
 		next.asked = uint8(n)
 	}
 	s.flows.put(p.Key, next, now)
@@ -47,7 +50,7 @@
 		}
 		p.add(addr)
 	}
-	return Verdict{Action: ActionForward, Reason: ReasonSearch, Path: paths[0], More: paths[1:]}
+	return Verdict{Action: ActionForward, Reason: ReasonSearch, Path: paths[0], More: paths[1:], Undecided: !settled}
 }
 
 // searchOrder lists the members to ask: first those that serve the tag.
@@ -130,14 +133,32 @@
 	return unknown
 }
 
-// settled reports whether all members of the system are known.
+// Registered takes in the members that stand in the platform's store.
+func (s *Steering) Registered(addrs []netip.AddrPort) { s.registered = addrs }
+
+// registeredKnown reports whether the store was read, and all members in it are known.
+func (s *Steering) registeredKnown() bool {
+	for _, addr := range s.registered {
+		if _, ok := s.members[addr]; !ok {
+			return false
+		}
+	}
+	return len(s.registered) > 0
+}
+
+// settled reports whether all members of the system are known. After a loss of power,
+// when all processes are new, the store says soonest which ones there are.
 func (s *Steering) settled(now time.Time) bool {
 	since := now.Sub(s.grown)
-	if len(s.rumoured) > 0 {
+	switch {
+	case len(s.rumoured) > 0:
 		return false
-	}
-	if now.Sub(s.peerHeard) > forgetAfter {
+	case now.Sub(s.peerHeard) > forgetAfter:
 		return since > peerPatience
+	case len(s.members) < s.peerMembers:
+		return false
+	case s.registeredKnown():
+		return since > registeredAfter
 	}
-	return since > settledAfter && len(s.members) >= s.peerMembers
+	return since > settledAfter
 }
--- a/flow/steering.go
+++ b/flow/steering.go
@@ -98,6 +98,9 @@
 	// More are further paths on which the packet is sent as well: at most one sidecar
 	// of all paths holds the flow.
 	More []Path
+	// Undecided says that the decision may be another one once this balancer has a
+	// configuration and knows all members.
+	Undecided bool
 }
 
 const (
@@ -129,12 +132,15 @@
 	// rumoured are members that another balancer named lately and that did not report
 	// here yet.
 	rumoured map[netip.AddrPort]time.Time
+	// registered are the members that stand in the platform's store.
+	registered []netip.AddrPort
 }
 
-// NewSteering returns the decisions of a balancer in a failure domain.
-func NewSteering(domain string) *Steering {
+// NewSteering returns the decisions of a balancer that starts now in a failure domain.
+func NewSteering(domain string, now time.Time) *Steering {
 	return &Steering{
 		domain:  DomainOf(domain),
+		grown:   now,
 		cfg:     &Configuration{},
 		members: map[netip.AddrPort]*Member{},
 		ranks:   map[Tag]*ranking{},
@@ -260,6 +266,9 @@
 		// Open flows go on while the store is away, though no configuration is known.
 		return s.search(p, Path{}, hash, known, now)
 	}
+	if route == nil && s.cfg.Version == 0 {
+		return Verdict{Action: ActionDrop, Reason: ReasonNoRoute, Undecided: true}
+	}
 	if route == nil {
 		return refused(p, ReasonNoRoute)
 	}
@@ -288,11 +297,14 @@
 // it keeps silent: the next copy may be served.
 func (s *Steering) withoutMember(p *Packet, now time.Time) Verdict {
 	if !s.settled(now) {
-		return Verdict{Action: ActionDrop, Reason: ReasonNoMember}
+		return Verdict{Action: ActionDrop, Reason: ReasonNoMember, Undecided: true}
 	}
 	return refused(p, ReasonNoMember)
 }
 
+// Decided reports whether what was undecided can be decided.
+func (s *Steering) Decided(now time.Time) bool { return s.cfg.Version > 0 && s.settled(now) }
+
 // refused resets a flow that was not opened; packets of others are dropped, since the
 // flow may be open somewhere.
 func refused(p *Packet, reason Reason) Verdict {
--- a/flow/steering_test.go
+++ b/flow/steering_test.go
@@ -28,7 +28,7 @@
 
 // testSteering returns a balancer that knows n sidecars of the test service.
 func testSteering(n int, now time.Time) *Steering {
-	s := NewSteering("a")
+	s := NewSteering("a", now)
 	s.Configure(&Configuration{Version: 1, Routes: map[netip.AddrPort]*Route{testService: route(testName)}})
 	for i := range n {
 		report(s, i, testName, 1, now)
@@ -155,7 +155,7 @@
 // Open flows go on when all processes were killed while the store is away.
 func TestSearchWithoutConfiguration(t *testing.T) {
 	now := time.Unix(100, 0)
-	s := NewSteering("a")
+	s := NewSteering("a", now)
 	report(s, 0, testName, 1, now)
 	if v := s.Decide(dataPacket(), now); v.Action != ActionForward || v.Path.To != member(0) {
 		t.Errorf("%v to %v", v.Action, v.Path.To)
@@ -222,6 +222,41 @@
 	}
 }
 
+// After a loss of power all balancers are new. The store names the members: once all of
+// them have reported, flows that nobody holds are given up at once, and not before.
+func TestRegisteredMembers(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		registered int
+		after      time.Duration
+		want       bool
+	}{
+		{"all have reported", 6, registeredAfter + time.Millisecond, true},
+		{"one has not reported", 7, settledAfter, false},
+		{"the store was not read", 0, registeredAfter + time.Millisecond, false},
+		{"one does not come back", 7, settledAfter + time.Millisecond, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(100, 0)
+			s := testSteering(6, now)
+			var addrs []netip.AddrPort
+			for i := range tt.registered {
+				addrs = append(addrs, member(i))
+			}
+			s.Registered(addrs)
+			now = now.Add(tt.after)
+			v := s.Decide(dataPacket(), now)
+			lost := false
+			for i := range 2 {
+				_, lost = s.Missed(testKey, member(i), v.Path.Search, now)
+			}
+			if lost != tt.want {
+				t.Errorf("lost %v, want %v", lost, tt.want)
+			}
+		})
+	}
+}
+
 // A search that did not ask members that were found while it ran gives nothing up.
 func TestSearchBeforeTheMembersWereKnown(t *testing.T) {
 	now := time.Unix(100, 0)
@@ -360,3 +395,33 @@
 		})
 	}
 }
+
+// Until the configuration and all members are known, packets are to be decided about again.
+func TestUndecided(t *testing.T) {
+	now := time.Unix(100, 0)
+	later := now.Add(settledAfter + time.Millisecond)
+	empty := NewSteering("a", now)
+	for _, tt := range []struct {
+		name string
+		s    *Steering
+		p    *Packet
+		at   time.Time
+		want bool
+	}{
+		{"opening packet without a configuration", empty, openingPacket(0), now, true},
+		{"open flow without a configuration", empty, dataPacket(), now, true},
+		{"opening packet while members join", testSteering(0, now), openingPacket(0), now, true},
+		{"open flow while members join", testSteering(3, now), dataPacket(), now, true},
+		{"placed while members join", testSteering(3, now), openingPacket(0), now, false},
+		{"open flow when all members are known", testSteering(3, now), dataPacket(), later, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			if v := tt.s.Decide(tt.p, tt.at); v.Undecided != tt.want {
+				t.Errorf("undecided %v (%v, %v)", v.Undecided, v.Action, v.Reason)
+			}
+			if tt.want && tt.s.Decided(tt.at) {
+				t.Error("already decided")
+			}
+		})
+	}
+}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -21,9 +21,9 @@
 	other = netip.MustParseAddrPort("10.0.0.2:7720")
 )
 
-// An address stands in the store, and comes back after the store was away and its
-// leases have lapsed.
-func TestKeep(t *testing.T) {
+// newRegistry returns a registry in a new store.
+func newRegistry(t *testing.T) (*registry.Registry, *store.Store) {
+	t.Helper()
 	s, addr, stop, err := store.Start(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		t.Fatal(err)
@@ -31,32 +31,60 @@
 	t.Cleanup(stop)
 	client, closeClient := platform.New(addr, metrics.NewRegistry())
 	t.Cleanup(closeClient)
-	found := make(chan []netip.AddrPort, 100)
-	reg := registry.New(slog.New(slog.NewTextHandler(io.Discard, nil)), client, func(a []netip.AddrPort) { found <- a })
+	return registry.New(slog.New(slog.NewTextHandler(io.Discard, nil)), client), s
+}
+
+// keep holds an address until the returned function is called.
+func keep(t *testing.T, reg *registry.Registry, role registry.Role, gone bool) func() {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		reg.Keep(ctx, self)
+		reg.Keep(ctx, role, self, func() bool { return gone })
 	}()
-	t.Cleanup(func() { cancel(); <-done })
-	await(t, reg, found)
+	stop := func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return stop
+}
+
+// An address stands in the store, and comes back after the store was away and its
+// leases have lapsed.
+func TestKeep(t *testing.T) {
+	reg, s := newRegistry(t)
+	keep(t, reg, registry.RoleBalancer, false)
+	await(t, reg, true, func(f registry.Found) []netip.AddrPort { return f.Balancers })
 	s.SetFaults(store.Faults{Down: true})
 	s.EndLeases()
 	s.SetFaults(store.Faults{})
-	await(t, reg, found)
+	await(t, reg, true, func(f registry.Found) []netip.AddrPort { return f.Balancers })
+}
+
+// The address of a sidecar that stops stays in the store, since its upstream may hold
+// flows, unless the upstream has ended as well.
+func TestStoppedSidecar(t *testing.T) {
+	sidecars := func(f registry.Found) []netip.AddrPort { return f.Sidecars }
+	for _, gone := range []bool{false, true} {
+		reg, _ := newRegistry(t)
+		stop := keep(t, reg, registry.RoleSidecar, gone)
+		await(t, reg, true, sidecars)
+		stop()
+		await(t, reg, !gone, sidecars)
+	}
 }
 
-// await reads until the own address stands in the store.
-func await(t *testing.T, reg *registry.Registry, found <-chan []netip.AddrPort) {
+// await reads until the own address stands in the store, or no longer does.
+func await(t *testing.T, reg *registry.Registry, wanted bool, among func(registry.Found) []netip.AddrPort) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
-		reg.Read(t.Context())
-		if slices.Contains(<-found, self) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var found registry.Found
+		reg.Follow(ctx, func(f registry.Found) { found = f; cancel() })
+		if slices.Contains(among(found), self) == wanted {
 			return
 		}
 	}
-	t.Fatal("the address is not in the store")
+	t.Fatalf("the address is in the store: %v", !wanted)
 }
 
 // A balancer stays known as long as somebody mentions it.
