Soak: real processes between stand-ins, under seeded faults from outside

standins soak runs balancers and sidecars as processes, callers, upstreams, routers and the store as stand-ins, and draws faults from a seed: kills, stops, pauses, stops in turn, everything killed, upstreams replaced or crashed, heartbeats cut, the store down, slow, compacted, losing answers, its connections cut, reset, silent or silent one way, the callers' path lossy, delayed or cut, routes changed. They overlap. It checks that open flows live, answers are whole, requests run once, at the right service, leaving upstreams get nothing new, configuration comes into force and never goes back, all callers are served 12 s after the last fault, and planned stops end in time. Report as text, JSON and a plot.

--- a/cmd/standins/main.go
+++ b/cmd/standins/main.go
@@ -36,6 +36,7 @@
 		{"proxy", proxyUsage, &proxyCommand{}},
 		{"load", loadUsage, &loadCommand{}},
 		{"certificate", certificateUsage, &certificateCommand{}},
+		{"soak", soakUsage, &soakCommand{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.usage, c.usage, c.data); err != nil {
 			fmt.Fprintln(os.Stderr, "standins:", err)
--- /dev/null
+++ b/cmd/standins/soak.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"greengagedyke/soak"
+)
+
+const soakUsage = "Run the real programs between stand-ins under seeded faults, exit 1 on a broken promise"
+
+type soakCommand struct {
+	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds     int           `long:"seeds" default:"1" description:"number of seeds"`
+	For       time.Duration `long:"for" default:"40s" description:"time a seed; the last 15 s of it are calm"`
+	Balancers int           `long:"balancers" default:"4"`
+	Sidecars  int           `long:"sidecars" default:"8"`
+	Boards    int           `long:"boards" default:"24" description:"callers that keep a flow open"`
+	Binary    string        `long:"binary" default:"target/greengagedyke" value-name:"FILE" description:"program under test"`
+	Dir       string        `long:"dir" default:"target/soak" value-name:"DIR" description:"folder for settings, logs and reports"`
+}
+
+// Execute implements flags.Commander.
+func (c *soakCommand) Execute([]string) error {
+	ctx, stop := lifetime()
+	defer stop()
+	broken := 0
+	for i := range c.Seeds {
+		o := &soak.Options{
+			Seed: c.Seed + uint64(i), For: c.For, Balancers: c.Balancers, Sidecars: c.Sidecars, Boards: c.Boards,
+			Binary: c.Binary, Dir: filepath.Join(c.Dir, fmt.Sprintf("seed-%d", c.Seed+uint64(i))),
+		}
+		r, err := soak.Run(ctx, o)
+		if err != nil {
+			return err
+		}
+		if err := r.WriteText(os.Stdout); err != nil {
+			return err
+		}
+		if err := r.Save(o.Dir); err != nil {
+			return err
+		}
+		if len(r.Violations) > 0 {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Errorf("soak: %d of %d seeds broke a promise", broken, c.Seeds)
+	}
+	return nil
+}
--- a/flow/search.go
+++ b/flow/search.go
@@ -20,6 +20,8 @@
 	settledAfter = time.Second
 	// registeredAfter is the same time if all members that the store names are known.
 	registeredAfter = 100 * time.Millisecond
+	// introduceInterval is the time between introductions to a member that does not report.
+	introduceInterval = 200 * time.Millisecond
 	// peerPatience is how long a balancer that has heard no other one waits for one.
 	peerPatience = 2 * time.Second
 )
@@ -119,18 +121,20 @@
 	s.peerHeard = now
 }
 
-// Rumour takes in the members that another balancer knows, and returns those that
-// are not known here. Flows that they may hold are not given up.
+// Rumour takes in the members that another balancer knows, and returns those that this
+// one should introduce itself to. Flows that they may hold are not given up.
 func (s *Steering) Rumour(addrs []netip.AddrPort, now time.Time) []netip.AddrPort {
-	var unknown []netip.AddrPort
+	var fresh []netip.AddrPort
 	for _, addr := range addrs {
 		if _, ok := s.members[addr]; ok {
 			continue
 		}
-		s.rumoured[addr] = now
-		unknown = append(unknown, addr)
+		if at, ok := s.rumoured[addr]; !ok || now.Sub(at) > introduceInterval {
+			s.rumoured[addr] = now
+			fresh = append(fresh, addr)
+		}
 	}
-	return unknown
+	return fresh
 }
 
 // Registered takes in the members that stand in the platform's store.
--- a/standin/ends/caller.go
+++ b/standin/ends/caller.go
@@ -92,9 +92,38 @@
 	in      chan received
 	// next is the caller's next sequence number, ack the upstream's.
 	next, ack uint32
+	// ended is set once the upstream has ended the flow.
+	ended bool
+	// via is where the opening packets went, several if to more than one balancer.
+	via     netip.AddrPort
+	several bool
 }
 
-// Open opens a flow to a service's address.
+// Via returns the balancer that got the opening packets, and whether it was one.
+func (f *Flow) Via() (netip.AddrPort, bool) { return f.via, !f.several }
+
+// Key names the flow.
+func (f *Flow) Key() flow.Key { return f.key }
+
+// Ended reports whether the upstream has ended the flow.
+func (f *Flow) Ended() bool { return f.ended }
+
+// Close ends the flow and forgets it. The packet is sent once: an upstream that misses it
+// keeps the flow until it is idle.
+func (f *Flow) Close() {
+	f.send(&flow.Packet{Flags: flow.FlagAck | flow.FlagEnd, Sequence: f.next, Ack: f.ack}, "")
+	f.forget()
+}
+
+// forget ends the receipt of packets.
+func (f *Flow) forget() {
+	f.callers.mu.Lock()
+	defer f.callers.mu.Unlock()
+	delete(f.callers.flows, f.key)
+}
+
+// Open opens a flow to a service's address. A flow that did not open is returned with
+// ErrNotOpened.
 func (c *Callers) Open(ctx context.Context, service netip.AddrPort) (*Flow, error) {
 	c.mu.Lock()
 	c.port++
@@ -112,14 +141,16 @@
 			continue
 		}
 		if err != nil {
-			return nil, errors.WithMessage(ErrNotOpened, err.Error())
+			f.forget()
+			return f, errors.WithMessage(ErrNotOpened, err.Error())
 		}
 		f.next++
 		f.ack = r.packet.Sequence + 1
 		f.send(&flow.Packet{Flags: flow.FlagAck, Sequence: f.next, Ack: f.ack}, "")
 		return f, nil
 	}
-	return nil, ErrNotOpened
+	f.forget()
+	return f, ErrNotOpened
 }
 
 // Ask sends a request and returns its answer. What is lost is sent again until ctx ends.
@@ -131,6 +162,7 @@
 		case err == nil:
 			f.next += uint32(len(request))
 			f.ack += uint32(r.packet.Length)
+			f.ended = r.packet.Flags.Has(flow.FlagEnd)
 			return r.data, nil
 		case errors.Is(err, ErrReset):
 			return "", err
@@ -163,5 +195,10 @@
 	p.Key = f.key
 	p.FromCaller = true
 	raw := f.callers.codec.AppendPacket(nil, p, []byte(data))
-	_, _ = f.callers.conn.WriteToUDPAddrPort(raw, f.callers.router.Route(f.key))
+	to := f.callers.router.Route(f.key)
+	if p.Opening() {
+		f.several = f.several || f.via.IsValid() && f.via != to
+		f.via = to
+	}
+	_, _ = f.callers.conn.WriteToUDPAddrPort(raw, to)
 }
--- a/standin/ends/flows_test.go
+++ b/standin/ends/flows_test.go
@@ -121,7 +121,7 @@
 // configure writes the operator's configuration with one route.
 func (s *site) configure(version int, service string) {
 	s.t.Helper()
-	_, _, err := s.store.Write(platform.Write{Puts: []platform.Put{platform.OperatorPut(version, coreAddr, service)}})
+	_, _, err := s.store.Write(platform.Write{Puts: []platform.Put{platform.OperatorPut(version, platform.ServiceRoute{Addr: coreAddr, Service: service})}})
 	check(s.t, err)
 }
 
--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -67,6 +67,18 @@
 	p.silent = make(chan struct{})
 }
 
+// Reset closes the TCP connections that are open now. New ones work.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+			tcp.Close()
+		}
+	}
+}
+
 // SilenceAnswers makes the target's answers on the connections that are open now
 // vanish, while what is sent to the target still arrives.
 func (p *Proxy) SilenceAnswers() {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -66,7 +66,7 @@
 		reads:   rate.NewLimiter(readsPerSecond, readsPerSecond),
 		writes:  rate.NewLimiter(writesPerSecond, writesPerSecond),
 	}
-	s.handler = platform.StoreHandler(s)
+	s.handler = platform.StoreHandler(remote{s})
 	ln, err := net.Listen("tcp4", addr.String())
 	if err != nil {
 		return nil, netip.AddrPort{}, nil, errors.Wrap(err, "store.Start")
--- a/standin/store/values.go
+++ b/standin/store/values.go
@@ -106,10 +106,21 @@
 		s.keep(platform.Value{Key: key, Revision: s.revision, Deleted: true})
 	}
 	s.wake()
-	s.loseAnswer()
 	return s.revision, nil, nil
 }
 
+// remote is the store as callers over HTTP see it: the answers of their writes may be lost.
+type remote struct{ *Store }
+
+// Write implements platform.Backend.
+func (r remote) Write(w platform.Write) (uint64, []platform.Value, error) {
+	revision, current, err := r.Store.Write(w)
+	if err == nil {
+		r.loseAnswer()
+	}
+	return revision, current, err
+}
+
 func (s *Store) current(conditions []platform.Condition) []platform.Value {
 	var list []platform.Value
 	for _, e := range conditions {
@@ -137,6 +148,8 @@
 
 // loseAnswer cuts the connection of a write that took effect, if a test wants that.
 func (s *Store) loseAnswer() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.faults.LoseAnswers == 0 {
 		return
 	}
