Soak: let leaving upstreams live longer than the bound that is checked

Cause: with the product mutated to ignore that upstreams leave, the soak found nothing: they were replaced at the moment from which a new flow counts.

--- a/soak/inject.go
+++ b/soak/inject.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// leaveTime is how long an upstream serves after it said that it leaves.
-	leaveTime = 3 * time.Second
+	// leaveTime is how long an upstream serves after it said that it leaves: longer than
+	// leaveLimit, so that new flows can be seen.
+	leaveTime = 5 * time.Second
 	// inTurnGap is the time between the steps of stops in turn.
 	inTurnGap = 400 * time.Millisecond
 	slowStore = 400 * time.Millisecond
