Bound the words between balancers, and let reports say when the next one is due

Sidecars among 100 balancers report every 2.5 s but counted as silent after 1.2 s. A balancer that was lost stayed known for ever, since all went on to mention it. Tests: TestKnown (a balancer that others mention is forgotten), TestAges, TestRareReports.

--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -22,10 +22,12 @@
 )
 
 const (
-	// tellInterval is the time between lists of balancers to other balancers.
+	// tellInterval is the time between words to other balancers, fanout the number of
+	// balancers that get them.
 	tellInterval = time.Second
-	// tellEvery is the number of reports of a sidecar between lists to it.
-	tellEvery = 16
+	fanout       = 6
+	// mentionLimit bounds the balancers that one word names.
+	mentionLimit = 40
 	// forwardAfterStop is how long a stopped balancer goes on to forward, until the
 	// routers have chosen others.
 	forwardAfterStop = 2500 * time.Millisecond
@@ -101,7 +103,7 @@
 	f.source = newConfigurationSource(f.log, client, f.cfg.Tunnel, f.clock, f.configure)
 	reg := registry.New(f.log, client)
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
-	f.mention(daemon.Tunnels(f.cfg.Peers, f.cfg.Tunnel.Port()))
+	f.mention(peer.MentionsOf(daemon.Tunnels(f.cfg.Peers, f.cfg.Tunnel.Port())))
 	f.log.Info("balancer-started", "identity", f.cfg.Identity, "failure-domain", f.cfg.FailureDomain)
 	wait := daemon.StartAll(life, end,
 		func(ctx context.Context) { daemon.ServeHTTP(ctx, f.log, ready, platform.ReadyHandler(f.ready)) },
@@ -128,10 +130,11 @@
 
 // registered takes in the addresses that stand in the store.
 func (f *Flows) registered(l registry.Found) {
-	f.mention(l.Balancers)
+	f.mention(peer.MentionsOf(l.Balancers))
 	f.mu.Lock()
 	f.steering.Registered(l.Sidecars)
 	f.mu.Unlock()
+	f.rumour(l.Sidecars, f.cfg.Store)
 }
 
 // leave forwards until the routers have chosen other balancers.
@@ -149,15 +152,20 @@
 	return !f.leaving.Load() && f.steering.Configuration().Version > 0 && takes > 0
 }
 
-// mention takes in addresses of balancers, and tells new ones of all others.
-func (f *Flows) mention(addrs []netip.AddrPort) {
-	fresh := f.known.Mention(f.clock.Now(), addrs...)
+// mention takes in balancers that somebody named, and introduces this one to new ones.
+func (f *Flows) mention(list []peer.Mention) {
+	now := f.clock.Now()
+	var fresh []netip.AddrPort
+	for _, m := range list {
+		if f.known.Heard(m.Addr, now.Add(-m.Age), now) {
+			fresh = append(fresh, m.Addr)
+		}
+	}
 	if len(fresh) == 0 {
 		return
 	}
 	f.log.Info("balancers-found", "count", len(fresh), "first", fresh[0].String(), "known", len(f.known.List()))
-	f.tellSidecars()
-	f.tellBalancers()
+	f.sendAll(f.balancersMessage(), fresh)
 }
 
 // configure puts a configuration in force unless a newer one is.
@@ -199,32 +207,45 @@
 			f.log.Info("balancer-forgotten", "address", addr.String())
 		}
 		f.tellBalancers()
+		f.tellSidecars()
 	}
 }
 
+// balancersMessage names this balancer, those that watch the store, and some others.
 func (f *Flows) balancersMessage() []byte {
+	now := f.clock.Now()
 	f.mu.Lock()
-	l := peer.Balancers{Version: f.steering.Configuration().Version, StoreReached: f.source.reached()}
-	l.Sidecars, _ = f.steering.Members(f.clock.Now())
+	l := peer.Balancers{Version: f.steering.Configuration().Version}
+	l.Sidecars, _ = f.steering.Members(now)
 	f.mu.Unlock()
-	l.Addrs = append([]netip.AddrPort{f.cfg.Tunnel}, f.known.List()...)
-	return peer.AppendBalancers(nil, &l)
-}
-
-func (f *Flows) tellBalancers() {
-	message := f.balancersMessage()
-	for _, addr := range f.known.List() {
-		f.send(message, addr)
+	watching := f.source.watching()
+	l.Mentions = append(l.Mentions, peer.Mention{Addr: f.cfg.Tunnel, Reached: f.source.reached()})
+	for _, addr := range watching {
+		l.Mentions = append(l.Mentions, peer.Mention{Addr: addr, Age: f.known.Age(addr, now), Reached: true})
+	}
+	for _, addr := range f.known.Some(mentionLimit) {
+		if !slices.Contains(watching, addr) {
+			l.Mentions = append(l.Mentions, peer.Mention{Addr: addr, Age: f.known.Age(addr, now)})
+		}
 	}
+	return peer.AppendBalancers(nil, &l)
 }
 
+// tellSidecars names balancers to some sidecars, so that each sidecar hears from one of
+// all balancers about once in each interval.
 func (f *Flows) tellSidecars() {
 	f.mu.Lock()
 	addrs := f.steering.Addresses()
 	f.mu.Unlock()
-	message := f.balancersMessage()
-	for _, addr := range addrs {
-		f.send(message, addr)
+	n := 1 + len(addrs)/(1+len(f.known.List()))
+	f.sendAll(f.balancersMessage(), addrs[:min(n, len(addrs))])
+}
+
+func (f *Flows) tellBalancers() { f.sendAll(f.balancersMessage(), f.known.Some(fanout)) }
+
+func (f *Flows) sendAll(b []byte, to []netip.AddrPort) {
+	for _, addr := range to {
+		f.send(b, addr)
 	}
 }
 
@@ -373,7 +394,7 @@
 		f.log.Info("sidecar-state", "address", from.String(), "state", l.State.String(),
 			"start", l.Start, "sequence", l.Sequence)
 	}
-	if changed || l.Sequence%tellEvery == 1 {
+	if changed {
 		f.send(f.balancersMessage(), from)
 	}
 }
@@ -409,7 +430,7 @@
 
 // peer takes in what another balancer knows, and answers one that knows less.
 func (f *Flows) peer(from netip.AddrPort, l *peer.Balancers) {
-	f.mention(l.Addrs)
+	f.mention(l.Mentions)
 	now := f.clock.Now()
 	f.mu.Lock()
 	f.steering.PeerMembers(l.Sidecars, now)
@@ -423,14 +444,13 @@
 	}
 }
 
-// tellOfSidecars names all sidecars to a balancer that knows fewer.
+// tellOfSidecars names sidecars to a balancer that knows fewer: as many as fit, others
+// the next time.
 func (f *Flows) tellOfSidecars(to netip.AddrPort) {
 	f.mu.Lock()
 	addrs := f.steering.Addresses()
 	f.mu.Unlock()
-	for part := range slices.Chunk(addrs, peer.MaxAddrs) {
-		f.send(peer.AppendSidecars(nil, part), to)
-	}
+	f.send(peer.AppendSidecars(nil, addrs), to)
 }
 
 // rumour introduces this balancer to sidecars that only another one knows.
@@ -442,8 +462,5 @@
 		return
 	}
 	f.log.Info("sidecars-rumoured", "count", len(unknown), "first", unknown[0].String(), "by", from.String())
-	message := f.balancersMessage()
-	for _, addr := range unknown {
-		f.send(message, addr)
-	}
+	f.sendAll(f.balancersMessage(), unknown)
 }
--- a/balancer/source.go
+++ b/balancer/source.go
@@ -68,6 +68,13 @@
 	return s.up
 }
 
+// watching returns balancers that watch the store closely, or would be the next to.
+func (s *configurationSource) watching() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchers.reached()
+}
+
 // fresh reports whether an unknown route is known not to exist.
 func (s *configurationSource) fresh(now time.Time) bool {
 	s.mu.Lock()
@@ -144,7 +151,12 @@
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.watchers.note(from, l.StoreReached, now)
+	for _, m := range l.Mentions {
+		// Only a balancer itself says that the store does not answer it.
+		if m.Reached || m.Addr == from {
+			s.watchers.note(m.Addr, m.Reached, now.Add(-m.Age))
+		}
+	}
 	if s.watchers.close(now) {
 		s.hurry()
 	}
--- a/balancer/watchers.go
+++ b/balancer/watchers.go
@@ -1,15 +1,20 @@
 package balancer
 
 import (
+	"maps"
+	"math/bits"
 	"net/netip"
+	"slices"
 	"time"
 )
 
 const (
 	// watcherCount is the number of balancers that watch the store closely for all.
 	watcherCount = 2
-	// watcherAge is the age from which a peer's last word no longer counts.
-	watcherAge = 2500 * time.Millisecond
+	// watcherAge is the age from which a peer's last word no longer counts; words that
+	// others pass on take longer among many balancers, by watcherDelay for each doubling.
+	watcherAge   = 2500 * time.Millisecond
+	watcherDelay = 500 * time.Millisecond
 )
 
 // watchers decide which balancers watch the store closely: the first by address of
@@ -24,20 +29,30 @@
 	return &watchers{self: self, heard: map[netip.AddrPort]time.Time{}}
 }
 
-// note takes in whether a peer reaches the store.
-func (w *watchers) note(peer netip.AddrPort, reached bool, now time.Time) {
+// note takes in whether a peer reached the store at a time.
+func (w *watchers) note(peer netip.AddrPort, reached bool, at time.Time) {
+	if peer == w.self || at.Before(w.heard[peer]) {
+		return
+	}
 	if !reached {
 		delete(w.heard, peer)
 		return
 	}
-	w.heard[peer] = now
+	w.heard[peer] = at
+}
+
+// reached returns the first balancers by address that reach the store.
+func (w *watchers) reached() []netip.AddrPort {
+	list := slices.SortedFunc(maps.Keys(w.heard), netip.AddrPort.Compare)
+	return list[:min(len(list), watcherCount)]
 }
 
 // close reports whether this balancer watches the store closely.
 func (w *watchers) close(now time.Time) bool {
 	before := 0
+	age := watcherAge + time.Duration(bits.Len(uint(len(w.heard)/fanout)))*watcherDelay
 	for peer, at := range w.heard {
-		if now.Sub(at) > watcherAge {
+		if now.Sub(at) > age {
 			delete(w.heard, peer)
 			continue
 		}
--- a/balancer/watchers_test.go
+++ b/balancer/watchers_test.go
@@ -26,6 +26,10 @@
 		t.Error("nobody took the place of one that lost the store")
 	}
 	w.note(addr(1), true, now)
+	w.note(addr(1), false, now.Add(-time.Second))
+	if w.close(now) {
+		t.Error("an old word took a watcher away")
+	}
 	later := now.Add(watcherAge + 1)
 	w.note(addr(2), true, later)
 	if !w.close(later) {
--- a/flow/member.go
+++ b/flow/member.go
@@ -41,6 +41,8 @@
 	Flows uint16
 	// Cold is how much longer the upstream stays slow after its start.
 	Cold time.Duration
+	// Interval is the time until the next report, if the state does not change.
+	Interval time.Duration
 }
 
 // Member is what a balancer knows of a sidecar.
@@ -59,3 +61,24 @@
 
 // DomainOf returns the number of a failure domain.
 func DomainOf(name string) uint32 { return uint32(TagOf("failure-domain " + name)) }
+
+const (
+	// silentAfter is the age of a report from which a member counts as silent, if the
+	// next report is not due later.
+	silentAfter = 1200 * time.Millisecond
+	// forgetAfter is how long a silent member is kept: it may still hold flows.
+	forgetAfter = 3 * time.Second
+	// silentReports and forgetReports are the same ages in intervals between reports.
+	silentReports = 2
+	forgetReports = 4
+)
+
+// silent reports whether the member's next reports are overdue.
+func (m *Member) silent(now time.Time) bool {
+	return now.Sub(m.Heard) >= max(silentAfter, silentReports*m.Load.Interval)
+}
+
+// gone reports whether the member has been silent for long.
+func (m *Member) gone(now time.Time) bool {
+	return now.Sub(m.Heard) > max(forgetAfter, forgetReports*m.Load.Interval)
+}
--- a/flow/place.go
+++ b/flow/place.go
@@ -7,7 +7,7 @@
 
 // takes reports whether a member may get new flows.
 func (m *Member) takes(now time.Time) bool {
-	return m.Load.State == StateReady && now.Sub(m.Heard) < silentAfter
+	return m.Load.State == StateReady && !m.silent(now)
 }
 
 // place chooses the sidecar for an opening packet. A copy goes to another sidecar
--- a/flow/ranking.go
+++ b/flow/ranking.go
@@ -88,7 +88,7 @@
 		switch {
 		case m.Addr == likely:
 			return 0
-		case now.Sub(m.Heard) < silentAfter:
+		case !m.silent(now):
 			return 1
 		}
 		return 2
--- a/flow/steering.go
+++ b/flow/steering.go
@@ -104,13 +104,9 @@
 }
 
 const (
-	// silentAfter is the age of a report from which a member counts as silent.
-	silentAfter = 1200 * time.Millisecond
 	// unansweredAfter is how long an opening packet may stay without an answer
 	// before its sidecar is used last.
 	unansweredAfter = 120 * time.Millisecond
-	// forgetAfter is how long a silent member is kept: it may still hold flows.
-	forgetAfter = 3 * time.Second
 	// rumourAge is how long a member that only other balancers know is waited for.
 	rumourAge = 5 * time.Second
 )
@@ -196,7 +192,7 @@
 func (s *Steering) Expire(now time.Time) []netip.AddrPort {
 	var lost []netip.AddrPort
 	for addr, m := range s.members {
-		if now.Sub(m.Heard) > forgetAfter {
+		if m.gone(now) {
 			delete(s.members, addr)
 			delete(s.ranks, m.Load.Tag)
 			lost = append(lost, addr)
@@ -329,7 +325,7 @@
 	return Verdict{Action: ActionForward, Reason: ReasonKnown, Path: path}
 }
 
-// Addresses returns the addresses of all known sidecars.
+// Addresses returns the addresses of all known sidecars, in no order.
 func (s *Steering) Addresses() []netip.AddrPort {
 	list := make([]netip.AddrPort, 0, len(s.members))
 	for addr := range s.members {
--- a/flow/steering_test.go
+++ b/flow/steering_test.go
@@ -425,3 +425,26 @@
 		})
 	}
 }
+
+// Sidecars of a large system report more rarely, and say so: they are not silent before
+// their next report is due.
+func TestRareReports(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(0, now)
+	const interval = 10 * time.Second
+	l := Load{Start: 1, Sequence: 1, Tag: TagOf(testName), Domain: DomainOf("a"), State: StateReady, Slots: 2, Interval: interval}
+	s.Report(member(0), l, now)
+	for _, tt := range []struct {
+		age         time.Duration
+		all, taking int
+	}{
+		{interval + time.Second, 1, 1},
+		{silentReports*interval + 1, 1, 0},
+		{forgetReports*interval + 1, 0, 0},
+	} {
+		s.Expire(now.Add(tt.age))
+		if all, taking := s.Members(now.Add(tt.age)); all != tt.all || taking != tt.taking {
+			t.Errorf("after %v: %d members, %d take flows, want %d, %d", tt.age, all, taking, tt.all, tt.taking)
+		}
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -53,13 +53,13 @@
 	// origin.
 	pathSize  = 4 + 4 + termsSize + addressSize
 	termsSize = 1 + 2 + 2
-	loadSize  = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4
-	// balancersSize is the length of a list of balancers without their addresses.
-	balancersSize = 8 + 4 + 1
+	loadSize  = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2
+	// balancersSize is the length of what a balancer knows without the balancers.
+	balancersSize = 8 + 4
 	// MaxHead is the largest number of bytes before a packet.
 	MaxHead = commonSize + pathSize + flow.RankingDepth*addressSize
 	// MaxAddrs bounds a list of balancers or sidecars.
-	MaxAddrs = 200
+	MaxAddrs = 150
 )
 
 // KindOf returns the kind of a datagram and its body.
@@ -148,7 +148,8 @@
 	b = binary.BigEndian.AppendUint16(b, l.Slots)
 	b = binary.BigEndian.AppendUint16(b, l.Busy)
 	b = binary.BigEndian.AppendUint16(b, l.Flows)
-	return binary.BigEndian.AppendUint32(b, uint32(l.Cold/time.Millisecond))
+	b = binary.BigEndian.AppendUint32(b, uint32(l.Cold/time.Millisecond))
+	return binary.BigEndian.AppendUint16(b, milliseconds(l.Interval))
 }
 
 // ParseLoad reads the body of a KindLoad.
@@ -166,6 +167,7 @@
 		Busy:     binary.BigEndian.Uint16(b[23:]),
 		Flows:    binary.BigEndian.Uint16(b[25:]),
 		Cold:     time.Duration(binary.BigEndian.Uint32(b[27:])) * time.Millisecond,
+		Interval: time.Duration(binary.BigEndian.Uint16(b[31:])) * time.Millisecond,
 	}, nil
 }
 
@@ -196,43 +198,67 @@
 	return flow.KeyFromBinary(b[1:]), b[0], nil
 }
 
-// Balancers lists the balancers that the sender knows, the version of the
-// configuration that it has in force, and the number of sidecars that it knows.
+// Mention says when a balancer spoke, and whether the store answers it.
+type Mention struct {
+	Addr    netip.AddrPort
+	Age     time.Duration
+	Reached bool
+}
+
+// MentionsOf are mentions of balancers that are named elsewhere as alive.
+func MentionsOf(addrs []netip.AddrPort) []Mention {
+	list := make([]Mention, len(addrs))
+	for i, addr := range addrs {
+		list[i] = Mention{Addr: addr}
+	}
+	return list
+}
+
+const (
+	mentionSize = addressSize + 1
+	// ageUnit is the unit of ages on the wire, which are rounded up: what is passed on
+	// never grows younger. flagReached is beside them.
+	ageUnit     = 500 * time.Millisecond
+	maxAge      = 1<<7 - 1
+	flagReached = 1 << 7
+)
+
+// Balancers is what a balancer knows: the version of the configuration that it has in
+// force, the number of sidecars, itself and other balancers.
 type Balancers struct {
 	Version  uint64
 	Sidecars int
-	// StoreReached says that the store answers the sender.
-	StoreReached bool
-	Addrs        []netip.AddrPort
+	Mentions []Mention
 }
 
-// AppendBalancers appends a list of balancers; a longer one than fits is cut.
+// AppendBalancers appends what a balancer knows; a list that is too long is cut.
 func AppendBalancers(b []byte, l *Balancers) []byte {
 	b = append(b, magic, byte(KindBalancers))
 	b = binary.BigEndian.AppendUint64(b, l.Version)
 	b = binary.BigEndian.AppendUint32(b, uint32(l.Sidecars))
-	reached := byte(0)
-	if l.StoreReached {
-		reached = 1
-	}
-	b = append(b, reached)
-	for _, a := range l.Addrs[:min(len(l.Addrs), MaxAddrs)] {
-		b = appendAddr(b, a)
+	for _, m := range l.Mentions[:min(len(l.Mentions), MaxAddrs)] {
+		b = appendAddr(b, m.Addr)
+		age := byte(max(0, min((m.Age+ageUnit-1)/ageUnit, maxAge)))
+		if m.Reached {
+			age |= flagReached
+		}
+		b = append(b, age)
 	}
 	return b
 }
 
 // ParseBalancers reads the body of a KindBalancers.
 func ParseBalancers(b []byte) (Balancers, error) {
-	if len(b) < balancersSize || (len(b)-balancersSize)%addressSize != 0 {
+	if len(b) < balancersSize || (len(b)-balancersSize)%mentionSize != 0 {
 		return Balancers{}, ErrTruncated
 	}
-	l := Balancers{
-		Version:      binary.BigEndian.Uint64(b),
-		Sidecars:     int(binary.BigEndian.Uint32(b[8:])),
-		StoreReached: b[12] == 1,
+	l := Balancers{Version: binary.BigEndian.Uint64(b), Sidecars: int(binary.BigEndian.Uint32(b[8:]))}
+	for rest := b[balancersSize:]; len(rest) > 0; rest = rest[mentionSize:] {
+		age := rest[addressSize]
+		l.Mentions = append(l.Mentions, Mention{
+			Addr: addrFrom(rest), Age: time.Duration(age&maxAge) * ageUnit, Reached: age&flagReached != 0,
+		})
 	}
-	l.Addrs = addrsFrom(b[balancersSize:])
 	return l, nil
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -67,13 +67,27 @@
 }
 
 func TestBalancers(t *testing.T) {
-	want := peer.Balancers{Version: 12, Sidecars: 10, StoreReached: true, Addrs: []netip.AddrPort{a1, a2}}
+	want := peer.Balancers{Version: 12, Sidecars: 10, Mentions: []peer.Mention{{Addr: a1, Reached: true}, {Addr: a2, Age: 3 * time.Second}}}
 	got, err := peer.ParseBalancers(body(t, peer.AppendBalancers(nil, &want), peer.KindBalancers))
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, %v", got, err)
 	}
 }
 
+// Ages are rounded up, so that a balancer that is gone does not stay young by being
+// mentioned.
+func TestAges(t *testing.T) {
+	for age, want := range map[time.Duration]time.Duration{
+		0: 0, time.Millisecond: 500 * time.Millisecond, 900 * time.Millisecond: time.Second, time.Hour: 63500 * time.Millisecond,
+	} {
+		l := peer.Balancers{Mentions: []peer.Mention{{Addr: a1, Age: age}}}
+		got, err := peer.ParseBalancers(body(t, peer.AppendBalancers(nil, &l), peer.KindBalancers))
+		if err != nil || got.Mentions[0].Age != want {
+			t.Errorf("age %v: got %+v, %v", age, got, err)
+		}
+	}
+}
+
 func TestSidecars(t *testing.T) {
 	want := []netip.AddrPort{a1, a2}
 	got, err := peer.ParseSidecars(body(t, peer.AppendSidecars(nil, want), peer.KindSidecars))
@@ -91,7 +105,7 @@
 	f.Add(peer.AppendLoad(nil, &flow.Load{}))
 	f.Add(peer.AppendHeld(nil, key))
 	f.Add(peer.AppendMissed(nil, key, 1))
-	f.Add(peer.AppendBalancers(nil, &peer.Balancers{Addrs: []netip.AddrPort{a1}}))
+	f.Add(peer.AppendBalancers(nil, &peer.Balancers{Mentions: []peer.Mention{{Addr: a1}}}))
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		_, rest, err := peer.KindOf(b)
 		if err != nil {
--- a/registry/known.go
+++ b/registry/known.go
@@ -3,58 +3,64 @@
 package registry
 
 import (
-	"cmp"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 )
 
-// forgetAfter is how long a balancer that nobody mentions stays known.
-const forgetAfter = 20 * time.Second
+// forgetAfter is how long a balancer stays known whose word nobody has heard.
+const forgetAfter = 40 * time.Second
 
-// Known are the balancers that a process knows. It is safe for concurrent use.
+// Known are the balancers that a process knows, with the time of their newest own word.
+// It is safe for concurrent use.
 type Known struct {
 	self netip.AddrPort
 
-	mu        sync.Mutex
-	mentioned map[netip.AddrPort]time.Time
-	sorted    []netip.AddrPort
+	mu     sync.Mutex
+	heard  map[netip.AddrPort]time.Time
+	sorted []netip.AddrPort
 }
 
 // NewKnown returns an empty set, which leaves out the own address.
 func NewKnown(self netip.AddrPort) *Known {
-	return &Known{self: self, mentioned: map[netip.AddrPort]time.Time{}}
+	return &Known{self: self, heard: map[netip.AddrPort]time.Time{}}
 }
 
-// Mention notes that somebody knows these balancers, and returns those that are new.
-func (k *Known) Mention(now time.Time, addrs ...netip.AddrPort) []netip.AddrPort {
+// Heard notes that a balancer spoke at a time, as somebody says, and reports whether it
+// was not known.
+func (k *Known) Heard(addr netip.AddrPort, at, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var fresh []netip.AddrPort
-	for _, a := range addrs {
-		if a == k.self || !a.IsValid() {
-			continue
-		}
-		if _, ok := k.mentioned[a]; !ok {
-			fresh = append(fresh, a)
-		}
-		k.mentioned[a] = now
+	if addr == k.self || !addr.IsValid() || now.Sub(at) > forgetAfter {
+		return false
+	}
+	before, known := k.heard[addr]
+	if at.After(before) {
+		k.heard[addr] = at
 	}
-	if fresh != nil {
+	if !known {
 		k.sort()
 	}
-	return fresh
+	return !known
+}
+
+// Age is how long ago a balancer spoke.
+func (k *Known) Age(addr netip.AddrPort, now time.Time) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Sub(k.heard[addr])
 }
 
-// Expire forgets balancers that nobody mentioned for long, and returns them.
+// Expire forgets balancers whose word nobody has heard for long, and returns them.
 func (k *Known) Expire(now time.Time) []netip.AddrPort {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var lost []netip.AddrPort
-	for a, at := range k.mentioned {
+	for a, at := range k.heard {
 		if now.Sub(at) > forgetAfter {
-			delete(k.mentioned, a)
+			delete(k.heard, a)
 			lost = append(lost, a)
 		}
 	}
@@ -66,13 +72,11 @@
 
 // sort replaces the list, since readers share it.
 func (k *Known) sort() {
-	k.sorted = make([]netip.AddrPort, 0, len(k.mentioned))
-	for a := range k.mentioned {
+	k.sorted = make([]netip.AddrPort, 0, len(k.heard))
+	for a := range k.heard {
 		k.sorted = append(k.sorted, a)
 	}
-	slices.SortFunc(k.sorted, func(a, b netip.AddrPort) int {
-		return cmp.Or(a.Addr().Compare(b.Addr()), cmp.Compare(a.Port(), b.Port()))
-	})
+	slices.SortFunc(k.sorted, netip.AddrPort.Compare)
 }
 
 // List returns the known balancers in order. The caller does not change it.
@@ -81,3 +85,13 @@
 	defer k.mu.Unlock()
 	return k.sorted
 }
+
+// Some returns at most n known balancers at random; the caller may change the list.
+func (k *Known) Some(n int) []netip.AddrPort {
+	list := slices.Clone(k.List())
+	if len(list) > n {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		list = list[:n]
+	}
+	return list
+}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -87,21 +87,48 @@
 	t.Fatalf("the address is in the store: %v", !wanted)
 }
 
-// A balancer stays known as long as somebody mentions it.
+// A balancer stays known as long as its own word is heard, by whomever; that others
+// mention it does not keep it.
 func TestKnown(t *testing.T) {
 	now := time.Unix(100, 0)
 	k := registry.NewKnown(self)
-	if fresh := k.Mention(now, self, other, other); !slices.Equal(fresh, []netip.AddrPort{other}) {
-		t.Errorf("new: %v", fresh)
+	if k.Heard(self, now, now) || !k.Heard(other, now, now) || k.Heard(other, now, now) {
+		t.Error("which balancers are new")
 	}
-	now = now.Add(15 * time.Second)
-	if fresh := k.Mention(now, other); fresh != nil {
-		t.Errorf("new again: %v", fresh)
+	heard := now.Add(30 * time.Second)
+	for range 30 {
+		now = now.Add(time.Second)
+		k.Heard(other, heard.Add(-20*time.Second), now)
 	}
-	if lost := k.Expire(now.Add(15 * time.Second)); lost != nil || len(k.List()) != 1 {
-		t.Errorf("forgotten too soon: %v", lost)
+	if lost := k.Expire(now); lost != nil || len(k.List()) != 1 || k.Age(other, now) != 20*time.Second {
+		t.Errorf("lost %v, known %v, age %v", lost, k.List(), k.Age(other, now))
 	}
-	if lost := k.Expire(now.Add(25 * time.Second)); !slices.Equal(lost, []netip.AddrPort{other}) || len(k.List()) != 0 {
-		t.Errorf("forgotten: %v, known: %v", lost, k.List())
+	if lost := k.Expire(now.Add(30 * time.Second)); !slices.Equal(lost, []netip.AddrPort{other}) || len(k.List()) != 0 {
+		t.Errorf("lost %v, known %v", lost, k.List())
+	}
+	if k.Heard(other, heard, now.Add(time.Hour)) {
+		t.Error("an old word made a balancer known")
+	}
+}
+
+// Some are at most as many as asked for, and any of those that are known.
+func TestSome(t *testing.T) {
+	now := time.Unix(100, 0)
+	k := registry.NewKnown(self)
+	seen := map[netip.AddrPort]bool{}
+	for i := range byte(10) {
+		k.Heard(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, i}), 7720), now, now)
+	}
+	for range 200 {
+		some := k.Some(3)
+		if len(some) != 3 {
+			t.Fatalf("%d balancers", len(some))
+		}
+		for _, addr := range some {
+			seen[addr] = true
+		}
+	}
+	if len(seen) != 10 {
+		t.Errorf("only %d of 10 were ever picked", len(seen))
 	}
 }
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -101,12 +101,14 @@
 	reg := registry.New(f.log, client)
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	f.log.Info("sidecar-started", "identity", f.cfg.Identity, "service", f.cfg.Service)
-	f.mention(daemon.Tunnels(f.cfg.Peers, f.cfg.BalancerPort))
+	f.mention(peer.MentionsOf(daemon.Tunnels(f.cfg.Peers, f.cfg.BalancerPort)))
 	takesWork := func() bool { return ctx.Err() == nil }
 	wait := daemon.StartAll(life, end,
 		func(ctx context.Context) { daemon.ServeHTTP(ctx, f.log, ready, platform.ReadyHandler(takesWork)) },
 		func(ctx context.Context) { daemon.ServeHTTP(ctx, f.log, beats, platform.HeartbeatHandler(f)) },
-		func(ctx context.Context) { reg.ReadBalancers(ctx, f.mention) },
+		func(ctx context.Context) {
+			reg.ReadBalancers(ctx, func(l []netip.AddrPort) { f.mention(peer.MentionsOf(l)) })
+		},
 		func(ctx context.Context) { reg.Keep(ctx, registry.RoleSidecar, f.cfg.Tunnel, f.upstreamEnded) },
 		f.tick,
 		f.watchOverdue,
@@ -146,14 +148,20 @@
 	}
 }
 
-// mention takes in addresses of balancers, and reports to new ones at once.
-func (f *Flows) mention(addrs []netip.AddrPort) {
-	fresh := f.known.Mention(f.clock.Now(), addrs...)
+// mention takes in balancers that somebody named, and reports to new ones at once.
+func (f *Flows) mention(list []peer.Mention) {
+	now := f.clock.Now()
+	var fresh []netip.AddrPort
+	for _, m := range list {
+		if f.known.Heard(m.Addr, now.Add(-m.Age), now) {
+			fresh = append(fresh, m.Addr)
+		}
+	}
 	if len(fresh) == 0 {
 		return
 	}
 	f.log.Info("balancers-found", "count", len(fresh), "first", fresh[0].String(), "known", len(f.known.List()))
-	signal(f.changed)
+	f.report(now, fresh)
 }
 
 // Heartbeat implements platform.Upstreams.
@@ -200,15 +208,14 @@
 func (f *Flows) tick(ctx context.Context) {
 	expired := f.clock.Now()
 	for {
-		interval := max(reportInterval, reportShare*time.Duration(len(f.known.List())))
 		select {
 		case <-ctx.Done():
 			return
 		case <-f.changed:
-		case <-time.After(interval):
+		case <-time.After(f.interval()):
 		}
 		now := f.clock.Sync()
-		f.report(now)
+		f.report(now, f.known.List())
 		if now.Sub(expired) < expireInterval {
 			continue
 		}
@@ -223,11 +230,18 @@
 	}
 }
 
-// report tells all balancers the state and load of the upstream.
-func (f *Flows) report(now time.Time) {
+// interval is the time between reports.
+func (f *Flows) interval() time.Duration {
+	return max(reportInterval, reportShare*time.Duration(len(f.known.List())))
+}
+
+// report tells balancers the state and load of the upstream.
+func (f *Flows) report(now time.Time, to []netip.AddrPort) {
+	interval := f.interval()
 	f.mu.Lock()
 	f.sequence++
 	l := f.holder.Load(now)
+	l.Interval = interval
 	l.Start = f.start
 	l.Sequence = f.sequence
 	l.Domain = flow.DomainOf(f.cfg.FailureDomain)
@@ -238,7 +252,7 @@
 		f.log.Info("upstream-state", "state", l.State.String(), "busy", l.Busy, "flows", l.Flows)
 	}
 	message := peer.AppendLoad(nil, &l)
-	for _, addr := range f.known.List() {
+	for _, addr := range to {
 		f.send(message, addr)
 	}
 }
@@ -303,7 +317,7 @@
 		if err != nil {
 			return err
 		}
-		f.mention(l.Addrs)
+		f.mention(l.Mentions)
 		return nil
 	default:
 		return peer.ErrForeign
--- a/standin/ends/flows_test.go
+++ b/standin/ends/flows_test.go
@@ -286,7 +286,7 @@
 		}
 		list, err := peer.ParseBalancers(body)
 		check(t, err)
-		told = slices.Contains(list.Addrs, s.block.Addr(kindBalancer, 2, tunnelPort))
+		told = slices.ContainsFunc(list.Mentions, func(m peer.Mention) bool { return m.Addr == s.block.Addr(kindBalancer, 2, tunnelPort) })
 	}
 }
 
