Judge what other balancers know by the newest word of each

Cause (found by reading, while the words were bounded): the largest number of members that any balancer ever told was kept while balancers spoke, so after an upstream was taken away for good no balancer that ran before counted as settled again, and callers of lost flows waited for their deadlines.

--- a/flow/search.go
+++ b/flow/search.go
@@ -113,20 +113,43 @@
 	return v.ack, true
 }
 
+// peerMembers is how many members another balancer knew when it was heard.
+type peerMembers struct {
+	n     int
+	heard time.Time
+}
+
 // PeerMembers notes how many members another balancer knows.
-func (s *Steering) PeerMembers(n int, now time.Time) {
-	if now.Sub(s.peerHeard) > forgetAfter || n > s.peerMembers {
-		s.peerMembers = n
+func (s *Steering) PeerMembers(peer netip.AddrPort, n int, now time.Time) {
+	s.peers[peer] = peerMembers{n: n, heard: now}
+}
+
+// peersKnow returns the largest number of members that another balancer knows, and
+// whether any spoke lately.
+func (s *Steering) peersKnow(now time.Time) (most int, heard bool) {
+	for _, p := range s.peers {
+		if now.Sub(p.heard) <= peerAge {
+			most, heard = max(most, p.n), true
+		}
 	}
-	s.peerHeard = now
+	return most, heard
+}
+
+// Unknown returns those of the members that are not known here.
+func (s *Steering) Unknown(addrs []netip.AddrPort) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(addrs), func(addr netip.AddrPort) bool {
+		_, known := s.members[addr]
+		return known
+	})
 }
 
 // Rumour takes in the members that another balancer knows, and returns those that this
-// one should introduce itself to. Flows that they may hold are not given up.
+// one should introduce itself to. Flows that they may hold are not given up, unless they
+// fell silent here.
 func (s *Steering) Rumour(addrs []netip.AddrPort, now time.Time) []netip.AddrPort {
 	var fresh []netip.AddrPort
-	for _, addr := range addrs {
-		if _, ok := s.members[addr]; ok {
+	for _, addr := range s.Unknown(addrs) {
+		if _, silent := s.forgotten[addr]; silent {
 			continue
 		}
 		if at, ok := s.rumoured[addr]; !ok || now.Sub(at) > introduceInterval {
@@ -154,12 +177,13 @@
 // when all processes are new, the store says soonest which ones there are.
 func (s *Steering) settled(now time.Time) bool {
 	since := now.Sub(s.grown)
+	most, heard := s.peersKnow(now)
 	switch {
 	case len(s.rumoured) > 0:
 		return false
-	case now.Sub(s.peerHeard) > forgetAfter:
+	case !heard:
 		return since > peerPatience
-	case len(s.members) < s.peerMembers:
+	case len(s.members) < most:
 		return false
 	case s.registeredKnown():
 		return since > registeredAfter
--- a/flow/steering.go
+++ b/flow/steering.go
@@ -109,6 +109,11 @@
 	unansweredAfter = 120 * time.Millisecond
 	// rumourAge is how long a member that only other balancers know is waited for.
 	rumourAge = 5 * time.Second
+	// forgottenAge is how long a member that fell silent here is not waited for, though
+	// others still know it.
+	forgottenAge = 10 * time.Second
+	// peerAge is how long the number of members that another balancer knows holds.
+	peerAge = 3 * time.Second
 )
 
 // Steering decides for a balancer. It is not safe for concurrent use.
@@ -120,14 +125,15 @@
 	ranks map[Tag]*ranking
 	// flows are hints, never the truth.
 	flows *locations
-	// grown is when the newest member was found, peerMembers the largest number of
-	// members that another balancer has, and peerHeard when one told its number.
-	grown       time.Time
-	peerMembers int
-	peerHeard   time.Time
+	// grown is when the newest member was found.
+	grown time.Time
+	// peers are the numbers of members that other balancers know.
+	peers map[netip.AddrPort]peerMembers
 	// rumoured are members that another balancer named lately and that did not report
 	// here yet.
 	rumoured map[netip.AddrPort]time.Time
+	// forgotten are members that fell silent lately.
+	forgotten map[netip.AddrPort]time.Time
 	// registered are the members that stand in the platform's store.
 	registered []netip.AddrPort
 }
@@ -142,7 +148,9 @@
 		ranks:   map[Tag]*ranking{},
 		flows:   newLocations(),
 
-		rumoured: map[netip.AddrPort]time.Time{},
+		peers:     map[netip.AddrPort]peerMembers{},
+		rumoured:  map[netip.AddrPort]time.Time{},
+		forgotten: map[netip.AddrPort]time.Time{},
 	}
 }
 
@@ -184,6 +192,7 @@
 	if !ok {
 		s.grown = now
 		delete(s.rumoured, from)
+		delete(s.forgotten, from)
 	}
 	return changed
 }
@@ -195,10 +204,16 @@
 		if m.gone(now) {
 			delete(s.members, addr)
 			delete(s.ranks, m.Load.Tag)
+			s.forgotten[addr] = now
 			lost = append(lost, addr)
 		}
 	}
-	maps.DeleteFunc(s.rumoured, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > rumourAge })
+	older := func(age time.Duration) func(netip.AddrPort, time.Time) bool {
+		return func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > age }
+	}
+	maps.DeleteFunc(s.rumoured, older(rumourAge))
+	maps.DeleteFunc(s.forgotten, older(forgottenAge))
+	maps.DeleteFunc(s.peers, func(_ netip.AddrPort, p peerMembers) bool { return now.Sub(p.heard) > peerAge })
 	return lost
 }
 
--- a/flow/steering_test.go
+++ b/flow/steering_test.go
@@ -13,6 +13,8 @@
 
 const otherName = "sheet-render"
 
+var testPeer = netip.MustParseAddrPort("10.0.0.2:7720")
+
 func member(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8172)
 }
@@ -33,7 +35,7 @@
 	for i := range n {
 		report(s, i, testName, 1, now)
 	}
-	s.PeerMembers(n, now)
+	s.PeerMembers(testPeer, n, now)
 	return s
 }
 
@@ -178,7 +180,7 @@
 	}{
 		{"all paths missed", func(*Steering) {}, 2, true},
 		{"one path is silent", func(*Steering) {}, 1, false},
-		{"a peer knows more members", func(s *Steering) { s.PeerMembers(n+1, start) }, 2, false},
+		{"a peer knows more members", func(s *Steering) { s.PeerMembers(testPeer, n+1, start) }, 2, false},
 		{"a member has just joined", func(s *Steering) { report(s, 99, testName, 1, later) }, 2, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -257,6 +259,32 @@
 	}
 }
 
+// A sidecar is lost for good. Other balancers go on to mention it for a while, each until
+// it has forgotten it: the callers of its flows are told soon after that.
+func TestLostMemberDoesNotHoldVerdictsUp(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(3, now)
+	for range 6 {
+		now = now.Add(time.Second)
+		for i := range 2 {
+			report(s, i, testName, uint32(now.Unix()), now)
+		}
+		s.Expire(now)
+		known := 3
+		if now.Sub(time.Unix(100, 0)) > forgetAfter+time.Second {
+			known = 2
+		}
+		s.PeerMembers(testPeer, known, now)
+		if known == 3 {
+			s.Rumour([]netip.AddrPort{member(2)}, now)
+		}
+	}
+	v := s.Decide(dataPacket(), now)
+	if _, lost := s.Missed(testKey, member(1), v.Path.Search, now); !lost {
+		t.Error("the caller is not told")
+	}
+}
+
 // A search that did not ask members that were found while it ran gives nothing up.
 func TestSearchBeforeTheMembersWereKnown(t *testing.T) {
 	now := time.Unix(100, 0)
