Search for flows narrowly first, and bound the searches of all members

Counters each second showed small balancers (10 Mbit/s) that were taken out of rotation and back every other second: each time some 2,500 searches a second, each of 600 bytes on 2 paths and, repeated after 0.2 s, on 12, 18 Mbit/s in all; neither answers nor the routers' questions came through, so the routers chose others again. Change: among more than 16 members the first search takes one path along the ranked members instead of two; searches of all members are bounded to 700 paths a second, others start with another ranked member each time. A sidecar whose upstream has sent neither heartbeats nor packets for 4 s denies flows that it does not know: its probes went unanswered, so no flow was ever given up while one upstream was silent.

--- a/flow/answering.go
+++ b/flow/answering.go
@@ -4,6 +4,7 @@
 
 // FromUpstream decides about a packet of the own upstream.
 func (h *Holder) FromUpstream(p *Packet, now time.Time) Ruling {
+	h.spoke = now
 	if p.Flags.Has(FlagBounced) {
 		return h.bounced(p)
 	}
--- a/flow/arriving.go
+++ b/flow/arriving.go
@@ -214,10 +214,23 @@
 	return h.work() >= slots*(1+queueAhead)
 }
 
+// upstreamDead reports whether the upstream has been silent for so long that it has
+// crashed: it sends its heartbeats to this VM. It holds no flows.
+func (h *Holder) upstreamDead(now time.Time) bool {
+	heard := h.started
+	if h.gate.heard.After(heard) {
+		heard = h.gate.heard
+	}
+	if h.spoke.After(heard) {
+		heard = h.spoke
+	}
+	return now.Sub(heard) > deadAfter
+}
+
 // unknown decides about a packet of a flow that this process does not know. After a
 // start of its own, the upstream may hold it all the same.
 func (h *Holder) unknown(a *Arrival, now time.Time) Ruling {
-	if h.complete || now.Sub(h.started) > probeAge {
+	if h.complete || now.Sub(h.started) > probeAge || h.upstreamDead(now) {
 		return pass(a, ReasonUnknownFlow)
 	}
 	s, ok := h.strangers[a.Packet.Key]
--- a/flow/holder.go
+++ b/flow/holder.go
@@ -19,6 +19,9 @@
 	// probeAge is how long after its start a sidecar asks its upstream about flows
 	// that it does not know.
 	probeAge = 65 * time.Second
+	// deadAfter is the silence, without a heartbeat or a packet, after which an upstream
+	// has crashed.
+	deadAfter = 4 * time.Second
 	// queueAhead is the number of requests that may wait for each slot before opening
 	// packets go to siblings.
 	queueAhead = 1
@@ -149,7 +152,9 @@
 	complete    bool
 	born        time.Time
 	incarnation int
-	flows       map[Key]*held
+	// spoke is when the upstream sent its newest packet.
+	spoke time.Time
+	flows map[Key]*held
 	// strangers are flows that the upstream was asked about.
 	strangers map[Key]stranger
 	queue     Queue
--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -393,3 +393,27 @@
 		t.Errorf("busy %d with one new request", got)
 	}
 }
+
+// A sidecar that started beside an upstream that has crashed in silence never hears it.
+// After a while it denies the flows that it is asked for, and holds no search up.
+func TestSilentUpstreamHoldsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := NewHolder(NewGate(2*time.Second), testName, time.Minute, now, now)
+	want(t, h.FromTunnel(data(501), now), ActionUpstream, ReasonProbe)
+	a := data(501)
+	a.Path.N = 0
+	a.Path.Search = 1
+	r := h.FromTunnel(a, now.Add(deadAfter/2))
+	if r.Missed {
+		t.Error("denied while the upstream may still answer")
+	}
+	r = h.FromTunnel(a, now.Add(deadAfter+1))
+	want(t, r, ActionDrop, ReasonUnknownFlow)
+	if !r.Missed {
+		t.Error("a crashed upstream holds a search up")
+	}
+	h.FromUpstream(fromUpstream(FlagAck, 900, 10), now.Add(deadAfter+2))
+	other := data(501)
+	other.Packet.Key = NewKey(netip.MustParseAddrPort("100.64.0.9:7"), testService)
+	want(t, h.FromTunnel(other, now.Add(deadAfter+3)), ActionUpstream, ReasonProbe)
+}
--- a/flow/ranking.go
+++ b/flow/ranking.go
@@ -103,14 +103,15 @@
 	return addrs
 }
 
-// ranked returns the likely member and the ranked ones for a flow's hash.
-func (r *ranking) ranked(hash uint64, likely netip.AddrPort) []netip.AddrPort {
+// ranked returns the likely member and the ranked ones for a flow's hash. Each try starts
+// with another of the ranked ones, in case one is dead.
+func (r *ranking) ranked(hash uint64, likely netip.AddrPort, tries int) []netip.AddrPort {
 	addrs := make([]netip.AddrPort, 0, RankingDepth+1)
 	if likely.IsValid() {
 		addrs = append(addrs, likely)
 	}
-	for rank := range r.depth {
-		if addr := r.at(hash, rank).Addr; addr != likely {
+	for i := range r.depth {
+		if addr := r.at(hash, (i+tries)%r.depth).Addr; addr != likely {
 			addrs = append(addrs, addr)
 		}
 	}
--- a/flow/search.go
+++ b/flow/search.go
@@ -15,6 +15,12 @@
 	// wideSearch is the number of members from which the first search for a flow only
 	// goes to the ranked ones, which hold nearly all.
 	wideSearch = 16
+	// narrowHops is the number of sidecars on the only path to the ranked members.
+	narrowHops = 1 + RankingDepth
+	// wideRate and wideBurst bound the searches that go to more than the ranked members,
+	// in paths a second: each path takes the packet over the balancer's link.
+	wideRate  = 700
+	wideBurst = 1400
 	// settledAfter is how long no member may have joined before the members of the
 	// system count as known.
 	settledAfter = time.Second
@@ -30,12 +36,12 @@
 // once: those of the route's service first, then the others, since the route may have
 // led there before. Each try starts further down, in case one is dead.
 func (s *Steering) search(p *Packet, path Path, hash uint64, known location, now time.Time) Verdict {
-	order := s.searchOrder(path.Tag, hash, known, now)
+	order, hops := s.searchOrder(path.Tag, hash, known, now)
 	if len(order) == 0 {
 		return Verdict{Action: ActionDrop, Reason: ReasonNoMember, Undecided: true}
 	}
 	settled := s.settled(now)
-	n := (len(order) + searchHops - 1) / searchHops
+	n := (len(order) + hops - 1) / hops
 	next := location{addr: known.addr, tries: known.tries + 1, ack: p.Ack}
 	if len(order) == len(s.members) && settled {
 		next.asked = uint8(n)
@@ -55,27 +61,35 @@
 	return Verdict{Action: ActionForward, Reason: ReasonSearch, Path: paths[0], More: paths[1:], Undecided: !settled}
 }
 
-// searchOrder lists the members to ask: first those that serve the tag.
-func (s *Steering) searchOrder(tag Tag, hash uint64, known location, now time.Time) []netip.AddrPort {
+// searchOrder lists the members to ask, first those that serve the tag, and how many of
+// them one path asks. It answers a rehash or a restart of all balancers, when all flows
+// are searched at once: the ranked members come first, and the searches of all members
+// are spread over time.
+func (s *Steering) searchOrder(tag Tag, hash uint64, known location, now time.Time) (order []netip.AddrPort, hops int) {
 	const most = searchHops * searchPaths
 	tries := int(known.tries)
-	var order []netip.AddrPort
 	own := s.ranking(tag)
-	if own != nil && tries == 0 && len(s.members) > wideSearch {
-		return own.ranked(hash, known.addr)
+	if own != nil && len(s.members) > narrowHops && (tries == 0 && len(s.members) > wideSearch || !s.allowsWide(now)) {
+		return own.ranked(hash, known.addr, tries), narrowHops
 	}
 	if own != nil {
 		order = own.order(hash, known.addr, tries, most, now)
 	}
 	if len(s.members) > most {
-		return order
+		return order, searchHops
 	}
 	for _, other := range s.tags() {
 		if other != tag {
 			order = append(order, s.ranking(other).order(hash, known.addr, tries, most, now)...)
 		}
 	}
-	return order
+	return order, searchHops
+}
+
+// allowsWide reports whether the balancer's link bears another search of all members.
+func (s *Steering) allowsWide(now time.Time) bool {
+	paths := min(searchPaths, (len(s.members)+searchHops-1)/searchHops)
+	return s.wide.AllowN(now, paths)
 }
 
 // tags lists the services of all members, in order.
--- a/flow/steering.go
+++ b/flow/steering.go
@@ -4,6 +4,8 @@
 	"maps"
 	"net/netip"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Action is what becomes of a packet.
@@ -125,6 +127,8 @@
 	ranks map[Tag]*ranking
 	// flows are hints, never the truth.
 	flows *locations
+	// wide bounds the searches of all members.
+	wide *rate.Limiter
 	// grown is when the newest member was found.
 	grown time.Time
 	// peers are the numbers of members that other balancers know.
@@ -148,6 +152,7 @@
 		ranks:   map[Tag]*ranking{},
 		flows:   newLocations(),
 
+		wide:      rate.NewLimiter(wideRate, wideBurst),
 		peers:     map[netip.AddrPort]peerMembers{},
 		rumoured:  map[netip.AddrPort]time.Time{},
 		forgotten: map[netip.AddrPort]time.Time{},
--- a/flow/steering_test.go
+++ b/flow/steering_test.go
@@ -476,3 +476,60 @@
 		}
 	}
 }
+
+// repeat is the time after which a caller sends a packet again.
+const repeat = 200 * time.Millisecond
+
+// reached counts the members on all paths of a verdict.
+func reached(v Verdict) int {
+	n := 1 + v.Path.N
+	for i := range v.More {
+		n += 1 + v.More[i].N
+	}
+	return n
+}
+
+// Among many members the first search for a flow takes one path along the ranked ones,
+// the next one reaches all.
+func TestFirstSearchIsNarrow(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(47, now)
+	now = now.Add(settledAfter + time.Millisecond)
+	first := s.Decide(dataPacket(), now)
+	if len(first.More) != 0 || reached(first) != RankingDepth {
+		t.Errorf("first search: %d paths, %d members", 1+len(first.More), reached(first))
+	}
+	second := s.Decide(dataPacket(), now.Add(repeat))
+	if reached(second) != 47 {
+		t.Errorf("second search: %d members", reached(second))
+	}
+}
+
+// Routers choose another balancer for all flows at once. Wide searches for all of them
+// would fill the link of a small VM, so that no answer comes through: they are bounded,
+// and begin with another member each time.
+func TestStormOfSearches(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(47, now)
+	now = now.Add(settledAfter + time.Millisecond)
+	sent := 0
+	firsts := map[netip.AddrPort]bool{}
+	const flows, tries = 1000, 3
+	for try := range tries {
+		for i := range flows {
+			p := dataPacket()
+			p.Key = NewKey(netip.AddrPortFrom(testCaller.Addr(), uint16(1024+i)), testService)
+			v := s.Decide(p, now.Add(time.Duration(try)*repeat))
+			sent += 1 + len(v.More)
+			if i == flows-1 {
+				firsts[v.Path.To] = true
+			}
+		}
+	}
+	if most := tries*flows + wideBurst + wideRate; sent > most {
+		t.Errorf("%d datagrams for %d packets, want at most %d", sent, tries*flows, most)
+	}
+	if len(firsts) < 2 {
+		t.Error("each search began with the same member")
+	}
+}
