Take in mentions of balancers in one place; stop looking at packets that are too old

Logic that stood twice, and a loop that went on while the store was away though no kept packet was young enough to be decided about. Behavior else unchanged; TestUndecided.

--- a/balancer/undecided.go
+++ b/balancer/undecided.go
@@ -29,6 +29,8 @@
 
 	mu      sync.Mutex
 	packets map[flow.Key]keptPacket
+	// newest is when the newest packet was kept.
+	newest time.Time
 }
 
 type keptPacket struct {
@@ -48,12 +50,20 @@
 		return
 	}
 	u.packets[k] = keptPacket{raw: slices.Clone(raw), at: now}
+	u.newest = now
 	select {
 	case u.wake <- struct{}{}:
 	default:
 	}
 }
 
+// waiting reports whether a packet is kept that is not too old.
+func (u *undecided) waiting(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.packets) > 0 && now.Sub(u.newest) <= undecidedAge
+}
+
 // take removes all packets and returns those that are not too old.
 func (u *undecided) take(now time.Time) [][]byte {
 	u.mu.Lock()
@@ -78,7 +88,7 @@
 			return
 		case <-f.undecided.wake:
 		}
-		for !f.decided() && ctx.Err() == nil {
+		for !f.decided() && f.undecided.waiting(f.clock.Now()) && ctx.Err() == nil {
 			daemon.Pause(ctx, undecidedInterval)
 		}
 		now := f.clock.Now()
--- a/balancer/undecided_test.go
+++ b/balancer/undecided_test.go
@@ -27,6 +27,9 @@
 	default:
 		t.Error("nobody was told")
 	}
+	if !u.waiting(now) || u.waiting(now.Add(undecidedAge+1)) {
+		t.Error("packets wait for the wrong time")
+	}
 	got := map[string]bool{}
 	for _, raw := range u.take(now) {
 		got[string(raw)] = true
--- a/balancer/words.go
+++ b/balancer/words.go
@@ -20,13 +20,7 @@
 
 // mention takes in balancers that somebody named, and introduces this one to new ones.
 func (f *Flows) mention(list []peer.Mention) {
-	now := f.clock.Now()
-	var fresh []netip.AddrPort
-	for _, m := range list {
-		if f.known.Heard(m.Addr, now.Add(-m.Age), now) {
-			fresh = append(fresh, m.Addr)
-		}
-	}
+	fresh := f.known.Mentioned(list, f.clock.Now())
 	if len(fresh) == 0 {
 		return
 	}
--- a/registry/known.go
+++ b/registry/known.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"greengagedyke/peer"
 )
 
 // forgetAfter is how long a balancer stays known whose word nobody has heard.
@@ -28,6 +30,17 @@
 	return &Known{self: self, heard: map[netip.AddrPort]time.Time{}}
 }
 
+// Mentioned takes in balancers that somebody named, and returns those that are new.
+func (k *Known) Mentioned(list []peer.Mention, now time.Time) []netip.AddrPort {
+	var fresh []netip.AddrPort
+	for _, m := range list {
+		if k.Heard(m.Addr, now.Add(-m.Age), now) {
+			fresh = append(fresh, m.Addr)
+		}
+	}
+	return fresh
+}
+
 // Heard notes that a balancer spoke at a time, as somebody says, and reports whether it
 // was not known.
 func (k *Known) Heard(addr netip.AddrPort, at, now time.Time) bool {
--- a/sidecar/flows.go
+++ b/sidecar/flows.go
@@ -151,12 +151,7 @@
 // mention takes in balancers that somebody named, and reports to new ones at once.
 func (f *Flows) mention(list []peer.Mention) {
 	now := f.clock.Now()
-	var fresh []netip.AddrPort
-	for _, m := range list {
-		if f.known.Heard(m.Addr, now.Add(-m.Age), now) {
-			fresh = append(fresh, m.Addr)
-		}
-	}
+	fresh := f.known.Mentioned(list, now)
 	if len(fresh) == 0 {
 		return
 	}
