Tell callers of lost flows while members come and go, and among more than 64 members

Change: the members that the store names are awaited once each, later ones hold no older flows; paths of a search grow longer beyond 64 members, up to 144.

--- a/flow/search.go
+++ b/flow/search.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// searchHops is the number of sidecars on one path of a search, searchPaths the
-	// number of paths that one packet takes.
+	// searchHops is the number of sidecars on one path of a search, searchPaths the most
+	// paths that one packet takes: with more members the paths grow longer.
 	searchHops  = 4
 	searchPaths = 16
 	// wideSearch is the number of members from which the first search for a flow only
@@ -66,7 +66,7 @@
 // are searched at once: the ranked members come first, and the searches of all members
 // are spread over time.
 func (s *Steering) searchOrder(tag Tag, hash uint64, known location, now time.Time) (order []netip.AddrPort, hops int) {
-	const most = searchHops * searchPaths
+	const most = narrowHops * searchPaths
 	tries := int(known.tries)
 	own := s.ranking(tag)
 	if own != nil && len(s.members) > narrowHops && (tries == 0 && len(s.members) > wideSearch || !s.allowsWide(now)) {
@@ -76,16 +76,19 @@
 		order = own.order(hash, known.addr, tries, most, now)
 	}
 	if len(s.members) > most {
-		return order, searchHops
+		return order, wideHops(len(order))
 	}
 	for _, other := range s.tags() {
 		if other != tag {
 			order = append(order, s.ranking(other).order(hash, known.addr, tries, most, now)...)
 		}
 	}
-	return order, searchHops
+	return order, wideHops(len(order))
 }
 
+// wideHops is the number of sidecars on each path of a search of n members.
+func wideHops(n int) int { return max(searchHops, (n+searchPaths-1)/searchPaths) }
+
 // allowsWide reports whether the balancer's link bears another search of all members.
 func (s *Steering) allowsWide(now time.Time) bool {
 	paths := min(searchPaths, (len(s.members)+searchHops-1)/searchHops)
@@ -174,19 +177,22 @@
 	return fresh
 }
 
-// Registered takes in the members that stand in the platform's store.
-func (s *Steering) Registered(addrs []netip.AddrPort) { s.registered = addrs }
-
-// registeredKnown reports whether the store was read, and all members in it are known.
-func (s *Steering) registeredKnown() bool {
-	for _, addr := range s.registered {
-		if _, ok := s.members[addr]; !ok {
-			return false
+// Registered takes in the members that stand in the platform's store. Those that did not
+// report here yet are awaited.
+func (s *Steering) Registered(addrs []netip.AddrPort) {
+	s.registered = len(addrs) > 0
+	clear(s.awaited)
+	for _, addr := range s.Unknown(addrs) {
+		if _, silent := s.forgotten[addr]; !silent {
+			s.awaited[addr] = true
 		}
 	}
-	return len(s.registered) > 0
 }
 
+// registeredKnown reports whether the store was read, and all members that it named have
+// reported since: members that join later hold no older flows.
+func (s *Steering) registeredKnown() bool { return s.registered && len(s.awaited) == 0 }
+
 // settled reports whether all members of the system are known. After a loss of power,
 // when all processes are new, the store says soonest which ones there are.
 func (s *Steering) settled(now time.Time) bool {
--- a/flow/steering.go
+++ b/flow/steering.go
@@ -138,8 +138,10 @@
 	rumoured map[netip.AddrPort]time.Time
 	// forgotten are members that fell silent lately.
 	forgotten map[netip.AddrPort]time.Time
-	// registered are the members that stand in the platform's store.
-	registered []netip.AddrPort
+	// registered is set once the platform's store has named members; awaited are those
+	// that have not reported since.
+	registered bool
+	awaited    map[netip.AddrPort]bool
 }
 
 // NewSteering returns the decisions of a balancer that starts now in a failure domain.
@@ -156,6 +158,7 @@
 		peers:     map[netip.AddrPort]peerMembers{},
 		rumoured:  map[netip.AddrPort]time.Time{},
 		forgotten: map[netip.AddrPort]time.Time{},
+		awaited:   map[netip.AddrPort]bool{},
 	}
 }
 
@@ -198,6 +201,7 @@
 		s.grown = now
 		delete(s.rumoured, from)
 		delete(s.forgotten, from)
+		delete(s.awaited, from)
 	}
 	return changed
 }
--- a/flow/steering_test.go
+++ b/flow/steering_test.go
@@ -505,6 +505,26 @@
 	}
 }
 
+// Among 70 members a search of all still reaches all, so that callers of lost flows are
+// told.
+func TestLostFlowAmongManyMembers(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(70, now)
+	now = now.Add(settledAfter + time.Millisecond)
+	s.Decide(dataPacket(), now)
+	v := s.Decide(dataPacket(), now.Add(repeat))
+	if reached(v) != 70 || 1+len(v.More) > searchPaths {
+		t.Errorf("%d members on %d paths", reached(v), 1+len(v.More))
+	}
+	lost := false
+	for i := range 1 + len(v.More) {
+		_, lost = s.Missed(testKey, member(i), v.Path.Search, now.Add(repeat))
+	}
+	if !lost {
+		t.Error("the caller is not told")
+	}
+}
+
 // Routers choose another balancer for all flows at once. Wide searches for all of them
 // would fill the link of a small VM, so that no answer comes through: they are bounded,
 // and begin with another member each time.
@@ -533,3 +553,38 @@
 		t.Error("each search began with the same member")
 	}
 }
+
+// Upstreams are replaced one after the other: a member joins and one leaves every second.
+// Callers of lost flows are told all the same.
+func TestVerdictsDuringARelease(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := testSteering(0, now)
+	var all []netip.AddrPort
+	for i := range 6 {
+		all = append(all, member(i))
+	}
+	s.Registered(all)
+	told := 0
+	for second := range 10 {
+		for i := second; i < 6+second; i++ {
+			report(s, i, testName, uint32(now.Unix()), now)
+		}
+		s.PeerMembers(testPeer, 6, now)
+		later := now.Add(registeredAfter + time.Millisecond)
+		p := dataPacket()
+		p.Key = NewKey(netip.AddrPortFrom(testCaller.Addr(), uint16(2000+second)), testService)
+		v := s.Decide(p, later)
+		s.Expire(later)
+		lost := false
+		for i := range 1 + len(v.More) {
+			_, lost = s.Missed(p.Key, member(i), v.Path.Search, later)
+		}
+		if lost {
+			told++
+		}
+		now = now.Add(time.Second)
+	}
+	if told != 10 {
+		t.Errorf("%d of 10 callers are told", told)
+	}
+}
