--- a/flow/holder_test.go
+++ b/flow/holder_test.go
@@ -417,3 +417,15 @@
 	other.Packet.Key = NewKey(netip.MustParseAddrPort("100.64.0.9:7"), testService)
 	want(t, h.FromTunnel(other, now.Add(deadAfter+3)), ActionUpstream, ReasonProbe)
 }
+
+// An upstream is replaced, and the new one opens a flow before its first heartbeat comes.
+// The flow is the new upstream's.
+func TestFlowOpenedBeforeTheFirstHeartbeat(t *testing.T) {
+	h, now := testHolder(t, time.Second)
+	started := now.Add(10 * time.Second)
+	beat(t, h, Heartbeat{ID: "i-1", Born: now.Add(time.Second), Sequence: 8}, started)
+	opened := started.Add(200 * time.Millisecond)
+	open(t, h, opened)
+	beat(t, h, Heartbeat{ID: "i-2", Born: started.Add(100 * time.Millisecond), Sequence: 1}, opened.Add(100*time.Millisecond))
+	want(t, h.FromTunnel(data(501), opened.Add(200*time.Millisecond)), ActionUpstream, ReasonKnown)
+}
--- a/soak/process.go
+++ b/soak/process.go
@@ -45,8 +45,9 @@
 	defer p.mu.Unlock()
 	cmd := exec.Command(p.binary, p.args...)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
-	// No process outlives the soak.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// No process outlives the soak. Each has a group of its own: the kernel hangs up a
+	// group that loses its shell while one of its processes is paused.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "soak: start of a process")
 	}
