Give flows to the upstream that was born before they were opened

The sidecar took the flow for the old upstream's and reset it, though its upstream held it. Ruled out: balancers (the reset's reason is upstream-lost, from the sidecar). Change: with a new upstream's first heartbeat, flows that were placed after its start become its own. The start is compared on the VM's clock since the sidecar's own start; if that was set meanwhile, a flow is taken wrongly, bounced, and ended then.

--- a/flow/holder.go
+++ b/flow/holder.go
@@ -202,10 +202,21 @@
 		h.incarnation++
 		h.complete = true
 		h.reset()
+		h.adopt(h.started.Add(b.Born.Sub(h.born)))
 	}
 	return outcome
 }
 
+// adopt gives the flows that were placed after the start of the new upstream to it: it
+// serves before its first heartbeat arrives.
+func (h *Holder) adopt(start time.Time) {
+	for _, f := range h.flows {
+		if f.incarnation == h.incarnation-1 && f.offered.After(start) {
+			f.incarnation = h.incarnation
+		}
+	}
+}
+
 // reset forgets what an upstream that was replaced was working on.
 func (h *Holder) reset() {
 	clear(h.strangers)
