--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -94,7 +94,7 @@
 		return err
 	}
 	defer api.Close()
-	client, closeClient := platform.New(b.cfg.Store, registry)
+	client, closeClient := platform.New(b.log, b.cfg.Store, registry)
 	defer closeClient()
 	store := platform.NewConfigurationStore(client)
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/balancer/configuration_source.go
+++ b/balancer/configuration_source.go
@@ -98,7 +98,11 @@
 	for _, err := range refused {
 		s.log.Error("configuration-refused", "from", from, "error", err.Error())
 	}
-	if cfg == nil || !s.apply(cfg) {
+	if cfg == nil {
+		return
+	}
+	if !s.apply(cfg) {
+		s.log.Info("configuration-not-newer", "from", from, "version", cfg.Version, "era", s.client.Era())
 		return
 	}
 	s.mu.Lock()
@@ -126,7 +130,7 @@
 		s.reachable = reachable
 		s.mu.Unlock()
 		if changed {
-			s.log.Warn("store-reachability-changed", "reachable", reachable, "error", daemon.ErrorText(err))
+			s.log.Warn("store-reachability-changed", "reachable", reachable, "era", s.client.Era(), "revision", store.Revision(), "error", daemon.ErrorText(err))
 		}
 		if !reachable {
 			s.pause(ctx)
--- a/balancer/flow_balancer.go
+++ b/balancer/flow_balancer.go
@@ -101,7 +101,7 @@
 		return err
 	}
 	defer configurations.Close()
-	client, closeClient := platform.New(f.cfg.Store, r)
+	client, closeClient := platform.New(f.log, f.cfg.Store, r)
 	defer closeClient()
 	f.source = newConfigurationSource(f.log, client, f.cfg.Tunnel, f.clock, f.configure)
 	reg := registry.New(f.log, client)
--- a/sidecar/flow_sidecar.go
+++ b/sidecar/flow_sidecar.go
@@ -106,7 +106,7 @@
 		return err
 	}
 	defer heartbeats.Close()
-	client, closeClient := platform.New(f.cfg.Store, r)
+	client, closeClient := platform.New(f.log, f.cfg.Store, r)
 	defer closeClient()
 	reg := registry.New(f.log, client)
 	taskCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -59,6 +59,11 @@
 	leases            map[platform.Lease]*lease
 	// revision is incremented by each write, grant and revocation.
 	revision uint64
+	// era is the number of calls of Restore.
+	era uint64
+	// copies are the states after the changes of the last maxCopyAge, oldest first, and the state
+	// before them.
+	copies []storeCopy
 	// changed is closed and replaced at each change.
 	changed      chan struct{}
 	faults       Faults
@@ -78,6 +83,7 @@
 		readLimiter:  rate.NewLimiter(readsPerSecond, readsPerSecond),
 		writeLimiter: rate.NewLimiter(writesPerSecond, writesPerSecond),
 	}
+	s.keepCopy()
 	s.handler = platform.StoreHandler(remoteStore{s})
 	ln, err := net.Listen("tcp4", addr.String())
 	if err != nil {
