--- a/balancer/configuration_source_test.go
+++ b/balancer/configuration_source_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -106,3 +107,33 @@
 	s.observeOthers(false)
 	s.await(2)
 }
+
+// A change that is written after the store came back from an older copy is applied, even if the store
+// has passed the revision of the old watch by the time the balancer reaches the store again.
+func TestChangeAfterRestoreIsMissed(t *testing.T) {
+	s := newSourceSite(t)
+	s.write(1)
+	time.Sleep(100 * time.Millisecond) // so that the copy contains version 1
+	taken := time.Now()
+	s.writeOther(5)
+	s.write(2)
+	s.watch()
+	s.await(2)
+	s.store.SetFaults(store.Faults{Down: true})
+	s.store.Restore(time.Since(taken))
+	s.write(2)
+	s.write(3)
+	s.writeOther(10)
+	s.store.SetFaults(store.Faults{})
+	s.await(3)
+}
+
+// writeOther stores n values that are no configurations.
+func (s *sourceSite) writeOther(n int) {
+	s.t.Helper()
+	for i := range n {
+		if _, _, err := s.store.Write(platform.Transaction{Puts: []platform.Put{{Key: "other/" + strconv.Itoa(i)}}}); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -175,3 +175,41 @@
 		t.Errorf("got %d calls in 3 s, want 3 or 4", n)
 	}
 }
+
+// After the store came back from an older copy, the ID of a lost lease may be granted again. The
+// process that lost the lease registers again, and does not revoke the other process's lease.
+func TestLeaseGrantedAgainAfterRestore(t *testing.T) {
+	balancers := func(a registry.Addresses) []netip.AddrPort { return a.Balancers }
+	reg, s := newRegistry(t)
+	time.Sleep(50 * time.Millisecond)
+	taken := time.Now()
+	stop := keepRegistered(t, reg, registry.RoleBalancer, true)
+	await(t, reg, true, balancers)
+	s.Restore(time.Since(taken))
+	lease, _ := s.Grant(time.Minute) // as for another process; the ID is the same as before
+	if _, _, err := s.Write(platform.Transaction{Puts: []platform.Put{{Key: "greengagedyke/sidecars/" + other.String(), Lease: lease}}}); err != nil {
+		t.Fatal(err)
+	}
+	await(t, reg, true, balancers)
+	stop()
+	await(t, reg, false, balancers)
+	if err := s.KeepAlive(lease); err != nil {
+		t.Errorf("got %v for the lease of the other process, want it unchanged", err)
+	}
+}
+
+// A process that stops before it has noticed that its lease was lost and granted again does not
+// revoke the lease of the other process.
+func TestStopRevokesLeaseOfAnother(t *testing.T) {
+	reg, s := newRegistry(t)
+	time.Sleep(50 * time.Millisecond)
+	taken := time.Now()
+	stop := keepRegistered(t, reg, registry.RoleSidecar, true)
+	await(t, reg, true, func(a registry.Addresses) []netip.AddrPort { return a.Sidecars })
+	s.Restore(time.Since(taken))
+	lease, _ := s.Grant(time.Minute)
+	stop()
+	if err := s.KeepAlive(lease); err != nil {
+		t.Errorf("got %v for the lease of the other process, want it unchanged", err)
+	}
+}
--- a/standin/store/restore.go
+++ b/standin/store/restore.go
@@ -54,6 +54,11 @@
 func (s *Store) Restore(age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.restore(age)
+}
+
+// restore is Restore for a caller that holds mu.
+func (s *Store) restore(age time.Duration) {
 	s.copies = s.copies[:s.copyIndex(time.Now().Add(-age))+1]
 	old := s.copies[len(s.copies)-1]
 	for _, l := range s.leases {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -35,6 +35,8 @@
 	LoseAnswers int `json:"lose-answers"`
 	// DownAfterLoss makes every call fail after the first lost answer, as Down does.
 	DownAfterLoss bool `json:"down-after-loss"`
+	// RestoreAfterLoss, if positive, restores the copy of this age after each lost answer.
+	RestoreAfterLoss time.Duration `json:"restore-after-loss"`
 }
 
 // lease is a granted lease that has not ended.
--- a/standin/store/values.go
+++ b/standin/store/values.go
@@ -163,6 +163,9 @@
 	}
 	s.faults.LoseAnswers--
 	s.faults.Down = s.faults.DownAfterLoss
+	if age := s.faults.RestoreAfterLoss; age > 0 {
+		s.restore(age)
+	}
 	panic(http.ErrAbortHandler)
 }
 
