A watch continues only within the era of its position

Cause: the position of a watch was a revision alone. A store restored from an older copy counts revisions again. Once its counter had passed the old revision, the watch was answered (no 410), and what was written below that revision was never seen. With up to eight balancers all of them are watchers, so none read again. Change: a position is an era and a revision. A watch of another era is not asked, or its answer is not used: the values are read again, at once when any call shows the new era. After a failed watch the configuration is read before it is watched. An answer of an earlier era than the newest known one counts as lost. Why it works: a revision is compared only with revisions of the same era, which do grow.

--- a/balancer/configuration_source.go
+++ b/balancer/configuration_source.go
@@ -130,7 +130,7 @@
 		s.reachable = reachable
 		s.mu.Unlock()
 		if changed {
-			s.log.Warn("store-reachability-changed", "reachable", reachable, "era", s.client.Era(), "revision", store.Revision(), "error", daemon.ErrorText(err))
+			s.log.Warn("store-reachability-changed", "reachable", reachable, "era", s.client.Era(), "watch-after", store.Position().Revision, "watch-era", store.Position().Era, "error", daemon.ErrorText(err))
 		}
 		if !reachable {
 			s.pause(ctx)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -43,7 +43,7 @@
 
 // Store is the part of the platform's store that a Registry uses.
 type Store interface {
-	List(ctx context.Context, prefix string) ([]platform.Value, uint64, error)
+	List(ctx context.Context, prefix string) ([]platform.Value, platform.Position, error)
 	ListStale(ctx context.Context, prefix string) ([]platform.Value, error)
 	GetStale(ctx context.Context, key string) (platform.Value, error)
 	Write(ctx context.Context, t platform.Transaction) (uint64, error)
