A lease counts only in the era in which the address was confirmed

With IDs that are given out again, a process renews the lease of another for ever and is missing in the store; at a stop it removes the other one. Cause: the ID of a lease was taken for the process's own as long as a renewal succeeded. After the store came back from an older copy, the same ID may belong to another process. Change: a registration remembers its era. In a new one the value of the address is read: if it still has the lease, it is written again with the new era, else the address is registered anew. A process that takes over its lease after a restart checks the same, and one that stops revokes only what it has read. Processes whose other calls show the new era check within 2 s, at a random moment. Why it works: only the process itself writes the value of its address, so the lease there is its own.

--- /dev/null
+++ b/registry/registration.go
@@ -0,0 +1,205 @@
+package registry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"greengagedyke/daemon"
+	"greengagedyke/platform"
+)
+
+const (
+	// leaseTTL is how long an address stays in the store after the last renewal of its lease.
+	leaseTTL = 30 * time.Second
+	// renewInterval is the time between renewals of a lease.
+	renewInterval = 10 * time.Second
+	// newEraDelay is the largest random delay before a lease is checked after a new era of the store
+	// began, so that processes do not call the store at the same time.
+	newEraDelay = 2 * time.Second
+	// revokeTimeout limits the calls that revoke the lease of a stopping process.
+	revokeTimeout = 300 * time.Millisecond
+)
+
+// registration is an address in the store and the lease that keeps it there.
+type registration struct {
+	key   string
+	lease platform.Lease
+	// era is the store's era in which the value under key was last known to have the lease. The ID of
+	// a lease means nothing in a later era: it may have been granted again to another process.
+	era uint64
+}
+
+// KeepRegistered keeps an address in the store under a lease until ctx ends. If revokeOnStop then
+// returns true, the address is removed at once; otherwise, it stays until the lease expires.
+func (r *Registry) KeepRegistered(ctx context.Context, role Role, addr netip.AddrPort, revokeOnStop func() bool) {
+	reachable := true
+	var b backoff
+	for ctx.Err() == nil {
+		reg := &registration{key: keyPrefix + string(role) + addr.String()}
+		err := r.register(ctx, reg)
+		if err == nil {
+			r.log.Info("registered", "address", addr.String(), "lease", uint64(reg.lease), "era", reg.era)
+			b.reset()
+			err = r.renew(ctx, reg)
+		}
+		if ctx.Err() != nil && reg.lease != 0 && revokeOnStop() {
+			r.revoke(ctx, reg)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if reachable || errors.Is(err, platform.ErrNoLease) {
+			r.log.Warn("registration-lost", "address", addr.String(), "era", r.store.Era(), "error", err.Error())
+		}
+		reachable = err == nil || errors.Is(err, platform.ErrNoLease)
+		if !reachable {
+			b.wait(ctx)
+		}
+	}
+}
+
+// revoke ends a lease, which removes its address from the store, if the lease still belongs to the
+// address. ctx may have ended already.
+func (r *Registry) revoke(ctx context.Context, reg *registration) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
+	defer cancel()
+	_, err := r.readOwn(ctx, reg)
+	if err == nil {
+		err = r.store.Revoke(ctx, reg.lease)
+	}
+	if err != nil {
+		r.log.Warn("registration-not-revoked", "lease", uint64(reg.lease), "error", err.Error())
+	}
+}
+
+// register writes the address to the store under a new lease. If the address is still in the store
+// from before a restart, register renews its lease without a write. This limits the load on the store
+// when all processes restart at once after a power loss.
+func (r *Registry) register(ctx context.Context, reg *registration) error {
+	taken, err := r.takeOver(ctx, reg)
+	if err != nil || taken {
+		return err
+	}
+	if reg.lease, _, err = r.store.Grant(ctx, leaseTTL); err != nil {
+		return err
+	}
+	reg.era = r.store.Era()
+	_, err = r.store.Write(ctx, platform.Transaction{
+		Puts: []platform.Put{{Key: reg.key, Data: encodeEra(reg.era), Lease: reg.lease}},
+	})
+	if err == nil && r.store.Era() != reg.era {
+		return errors.WithMessage(platform.ErrNoLease, "the store was restored during a registration")
+	}
+	return err
+}
+
+// takeOver renews the lease that the address still has in the store, and reports whether it has one.
+func (r *Registry) takeOver(ctx context.Context, reg *registration) (bool, error) {
+	previous, err := r.store.GetStale(ctx, reg.key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil || previous.Lease == 0 || r.store.KeepAlive(ctx, previous.Lease) != nil {
+		return false, err
+	}
+	reg.lease = previous.Lease
+	reg.era = decodeEra(previous.Data)
+	err = r.confirm(ctx, reg)
+	if errors.Is(err, platform.ErrNoLease) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// confirm makes sure that the address is in the store under the lease, if a new era began since that
+// was last known. The written value then names the new era. It returns platform.ErrNoLease if the
+// address is not there.
+func (r *Registry) confirm(ctx context.Context, reg *registration) error {
+	era := r.store.Era()
+	if reg.era == era {
+		return nil
+	}
+	v, err := r.readOwn(ctx, reg)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.Write(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: reg.key, Revision: v.Revision}},
+		Puts:       []platform.Put{{Key: reg.key, Data: encodeEra(era), Lease: reg.lease}},
+	})
+	if err != nil {
+		return err
+	}
+	reg.era = era
+	return nil
+}
+
+// readOwn returns the value of the address. It returns platform.ErrNoLease if there is none or it has
+// another lease.
+func (r *Registry) readOwn(ctx context.Context, reg *registration) (platform.Value, error) {
+	v, err := r.store.Get(ctx, reg.key)
+	if errors.Is(err, platform.ErrNotFound) || err == nil && v.Lease != reg.lease {
+		return v, errors.WithMessage(platform.ErrNoLease, "the address is not in the store under its lease")
+	}
+	return v, err
+}
+
+// renew renews the lease regularly, and confirms the registration in each new era. It returns
+// platform.ErrNoLease when the lease has expired or the address is gone, or the error of ctx when ctx
+// has ended.
+func (r *Registry) renew(ctx context.Context, reg *registration) error {
+	interval := renewInterval
+	var b backoff
+	for {
+		r.sleep(ctx, interval)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		err := r.store.KeepAlive(ctx, reg.lease)
+		if err == nil {
+			err = r.confirm(ctx, reg)
+		}
+		switch {
+		case errors.Is(err, platform.ErrNoLease):
+			return err
+		case err != nil:
+			interval = b.nextDelay()
+		case reg.era != r.store.Era():
+			interval = rand.N(newEraDelay)
+		default:
+			interval = renewInterval
+			b.reset()
+		}
+	}
+}
+
+// sleep waits for d or until ctx ends. If a new era of the store begins meanwhile, it waits at most
+// newEraDelay longer.
+func (r *Registry) sleep(ctx context.Context, d time.Duration) {
+	era := r.store.Era()
+	eraCtx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	stop := r.store.OnNewEra(cancel)
+	defer stop()
+	<-eraCtx.Done()
+	if r.store.Era() != era {
+		daemon.Sleep(ctx, rand.N(newEraDelay))
+	}
+}
+
+// encodeEra returns the value of an address that was registered in an era.
+func encodeEra(era uint64) []byte { return strconv.AppendUint(nil, era, 10) }
+
+// decodeEra returns the era in which an address was registered; 0 if its value names none.
+func decodeEra(data []byte) uint64 {
+	era, err := strconv.ParseUint(string(data), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return era
+}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -213,3 +213,29 @@
 		t.Errorf("got %v for the lease of the other process, want it unchanged", err)
 	}
 }
+
+// After the store came back from an older copy, the list of sidecars counts as complete only once all
+// that it lists have registered in the new era.
+func TestListIsIncompleteAfterRestore(t *testing.T) {
+	reg, s := newRegistry(t)
+	read := func() (found registry.Addresses) {
+		ctx, cancel := context.WithCancel(t.Context())
+		reg.PollAddresses(ctx, func(a registry.Addresses) { found = a; cancel() })
+		return found
+	}
+	keepRegistered(t, reg, registry.RoleSidecar, false)
+	await(t, reg, true, func(a registry.Addresses) []netip.AddrPort { return a.Sidecars })
+	if a := read(); !a.Complete {
+		t.Errorf("got %+v before the restore, want it complete", a)
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.Restore(20 * time.Millisecond)
+	if a := read(); a.Complete || len(a.Sidecars) != 1 {
+		t.Errorf("got %+v after the restore, want one sidecar, incomplete", a)
+	}
+	for end := time.Now().Add(registeredWithin); !read().Complete; time.Sleep(300 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the list is not complete after %v", registeredWithin)
+		}
+	}
+}
