A list of sidecars from a restored store is not complete

A balancer that starts while all balancers are new could reset a live flow 0.1 s later, if the sidecar that holds it had registered after the store's copy was taken. Cause: the store's list counted as complete once all listed sidecars had reported. A restored store lacks the addresses that were registered last until these processes notice. Suspected, not shown: that this resets a flow in practice; it takes a restore, new sidecars and the restart of all balancers within seconds.

--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -35,7 +35,7 @@
 func (f *FlowBalancer) handleRegistered(l registry.Addresses) {
 	f.addBalancers(peer.BalancerInfos(l.Balancers))
 	f.mu.Lock()
-	f.balancer.SetRegistered(l.Sidecars)
+	f.balancer.SetRegistered(l.Sidecars, l.Complete)
 	unknown := f.balancer.UnknownMembers(l.Sidecars)
 	f.mu.Unlock()
 	f.sendAll(f.balancersMessage(), unknown)
--- a/flow/lookup_test.go
+++ b/flow/lookup_test.go
@@ -236,13 +236,16 @@
 	for _, tt := range []struct {
 		name       string
 		registered int
+		complete   bool
 		after      time.Duration
 		want       bool
 	}{
-		{"all have reported", 6, registeredSettledAfter + time.Millisecond, true},
-		{"one has not reported", 7, settledAfter - 2*lookupStep, false},
-		{"the store was not read", 0, registeredSettledAfter + time.Millisecond, false},
-		{"one has not reported for long", 7, settledAfter + time.Millisecond, true},
+		{"all have reported", 6, true, registeredSettledAfter + time.Millisecond, true},
+		{"one has not reported", 7, true, settledAfter - 2*lookupStep, false},
+		{"the store was not read", 0, true, registeredSettledAfter + time.Millisecond, false},
+		{"one has not reported for long", 7, true, settledAfter + time.Millisecond, true},
+		{"the restored store may have lost one", 6, false, settledAfter - 2*lookupStep, false},
+		{"the restored store may have lost one long ago", 6, false, settledAfter + time.Millisecond, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			now := time.Unix(100, 0)
@@ -251,7 +254,7 @@
 			for i := range tt.registered {
 				addrs = append(addrs, memberAddr(i))
 			}
-			b.SetRegistered(addrs)
+			b.SetRegistered(addrs, tt.complete)
 			now = now.Add(tt.after)
 			startLookup(t, b, dataPacket(), now)
 			if lost := len(runLookups(b, now, lookupStep, noneHeld).Lost) > 0; lost != tt.want {
--- a/flow/membership.go
+++ b/flow/membership.go
@@ -103,9 +103,10 @@
 }
 
 // SetRegistered processes the list of members in the platform's store. Members that have not
-// reported here are awaited, unless they expired recently.
-func (b *Balancer) SetRegistered(addrs []netip.AddrPort) {
-	b.registered = len(addrs) > 0
+// reported here are awaited, unless they expired recently. A list that is not complete does not
+// prove that there are no other members.
+func (b *Balancer) SetRegistered(addrs []netip.AddrPort, complete bool) {
+	b.registered = complete && len(addrs) > 0
 	clear(b.awaited)
 	for _, addr := range b.UnknownMembers(addrs) {
 		if _, expired := b.expiredMembers[addr]; !expired {
@@ -114,7 +115,7 @@
 	}
 }
 
-// registeredReported reports whether the store has listed members and all of them have reported.
+// registeredReported reports whether the store has listed all members and all of them have reported.
 // Members that join later hold no older flows.
 func (b *Balancer) registeredReported() bool { return b.registered && len(b.awaited) == 0 }
 
