Configurations are ordered by the store's era, and lost ones are written again

What callers saw (own path): after the store came back from an older copy, an accepted change was in force nowhere, since its revision was below the one in force; a change that the copy lacks was in force until the processes ended and then gone; --if-revision matched a revision that was given out twice; a write whose answer was lost, and that others had seen, was reported as refused. Cause: the store's revision was the version of the configuration. It grows only within an era. Change: a revision is the era in which the configuration was written, then the store's revision. A balancer that finds an older configuration in a new era writes its own again, under the condition of what it read. A change is based on the newer of the store's and the balancer's own configuration. After a restore the outcome of a lost answer is unknown. Why it works: an era and a revision of the store together never come twice.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -167,18 +167,20 @@
 	}
 }
 
-// watchStore makes the node adopt every configuration that is written to the store, until ctx ends.
-// Only some balancers of each failure domain, its store readers, watch the store.
+// watchStore makes the node adopt every configuration that is written to the store, until ctx ends. It
+// writes the node's configuration to a store that has lost it. Only some balancers of each failure
+// domain, its store readers, watch the store.
 func (b *Balancer) watchStore(ctx context.Context, store *platform.ConfigurationStore) {
 	for ctx.Err() == nil {
 		if !b.node.IsStoreReader() {
 			daemon.Sleep(ctx, storeRetryInterval)
 			continue
 		}
-		cfg, err := store.Watch(ctx, b.node.Configuration().Revision)
+		cfg, err := store.Watch(ctx)
 		switch {
 		case err == nil:
 			b.node.Adopt(cfg)
+			b.writeLost(ctx, store, cfg.Revision)
 		case errors.Is(err, platform.ErrUnchanged):
 		default:
 			b.log.Debug("store-unavailable", "error", err.Error())
@@ -187,6 +189,29 @@
 	}
 }
 
+// writeLost writes the node's configuration to the store if the store came back from a copy without
+// it. stored is the revision in the store. writeLost tries again until it succeeds, another process has
+// written a configuration, or ctx ends.
+func (b *Balancer) writeLost(ctx context.Context, store *platform.ConfigurationStore, stored uint64) {
+	for ctx.Err() == nil {
+		cfg := *b.node.Configuration()
+		lost := cfg.Revision
+		if stored >= lost || !store.Restored(lost) {
+			return
+		}
+		err := store.Write(ctx, &cfg, stored)
+		b.log.Warn("configuration-written-again", "lost", lost, "stored", stored, "revision", cfg.Revision, "error", daemon.ErrorText(err))
+		if err == nil {
+			b.node.Adopt(&cfg)
+			return
+		}
+		if errors.As(err, new(*platform.ConflictError)) {
+			return
+		}
+		daemon.Sleep(ctx, storeRetryInterval)
+	}
+}
+
 // applyChanges applies changes of configuration and membership until ctx ends.
 func (b *Balancer) applyChanges(ctx context.Context) {
 	t := time.NewTicker(updateInterval)
--- a/operator/api.go
+++ b/operator/api.go
@@ -163,14 +163,18 @@
 	return request, nil
 }
 
-// replaceConfiguration writes cfg to the store, with the stored keys if cfg has none. It returns a
-// *platform.ConflictError if the stored revision is not that of the If-Revision header of r, or
+// replaceConfiguration writes cfg to the store, with the current keys if cfg has none. It returns a
+// *platform.ConflictError if the current revision is not that of the If-Revision header of r, or
 // changes during the call. A header that is not a number is ignored.
 func (a *API) replaceConfiguration(r *http.Request, cfg *service.Configuration) error {
-	current, err := a.store.Read(r.Context())
+	stored, err := a.store.Read(r.Context())
 	if err != nil {
 		return err
 	}
+	current := stored
+	if known := a.node.Configuration(); known.Revision > stored.Revision {
+		current = known // the store was restored from an older copy
+	}
 	if len(cfg.Keys) == 0 {
 		cfg.Keys = current.Keys
 	}
@@ -181,7 +185,7 @@
 	if expected != current.Revision {
 		return &platform.ConflictError{Revision: current.Revision}
 	}
-	return a.store.Write(r.Context(), cfg, expected)
+	return a.store.Write(r.Context(), cfg, stored.Revision)
 }
 
 // writeError responds with the status code and the problem for err.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -49,6 +49,13 @@
 // newAPI starts an API on m and returns a function that makes a client with the given token.
 // The API accepts the token "right".
 func newAPI(t *testing.T, m *memoryStore) func(token string) *Client {
+	t.Helper()
+	client, _ := newAPIAndNode(t, m)
+	return client
+}
+
+// newAPIAndNode is like newAPI, and also returns the node of the API.
+func newAPIAndNode(t *testing.T, m *memoryStore) (func(token string) *Client, *control.Node) {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	node := control.NewNode(log, member.Record{Role: member.RoleBalancer, Identity: "balancer-1", State: member.StateReady}, timeline.NewRing("balancer-1", timeline.NewClock(time.Now)))
@@ -61,7 +68,7 @@
 	server := httptest.NewServer(New(log, m, node, Queries{RevisionStatus: revisionStatus, Events: events}, "right"))
 	t.Cleanup(server.Close)
 	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
-	return func(token string) *Client { return NewClient(addr, token, http.DefaultTransport) }
+	return func(token string) *Client { return NewClient(addr, token, http.DefaultTransport) }, node
 }
 
 func services(name string) service.Services {
@@ -88,6 +95,26 @@
 	}
 }
 
+// The store came back from an older copy, while this balancer still has the lost configuration. A change
+// keeps the lost keys and may expect the lost revision, but not that of the copy.
+func TestApplyAfterRestoreLosesKeys(t *testing.T) {
+	m := &memoryStore{cfg: service.Configuration{Revision: 1}}
+	newClient, node := newAPIAndNode(t, m)
+	client := newClient("right")
+	keys := []service.Key{{ID: 1, Secret: make([]byte, 16)}}
+	node.Adopt(&service.Configuration{Revision: 5, Keys: keys})
+	var apiErr *APIError
+	if _, err := client.ApplyIfRevision(t.Context(), services("rota-core"), 1); !errors.As(err, &apiErr) || apiErr.Revision != 5 {
+		t.Errorf("change of revision 1: got error %v, want a conflict with revision 5", err)
+	}
+	if _, err := client.ApplyIfRevision(t.Context(), services("rota-core"), 5); err != nil {
+		t.Errorf("change of revision 5: %v", err)
+	}
+	if len(m.cfg.Keys) != 1 || m.cfg.Service("rota-core") == nil {
+		t.Errorf("got %+v, want the service rota-core and the lost key", m.cfg)
+	}
+}
+
 func TestTimeline(t *testing.T) {
 	client := newAPI(t, &memoryStore{})
 	got, err := client("right").Timeline(t.Context(), timeline.Filter{Request: "key-1", Kind: timeline.KindRequest})
--- a/service/configuration.go
+++ b/service/configuration.go
@@ -37,7 +37,8 @@
 // Configuration holds all declarations of the operators as one value with one revision, so that any
 // two changes are ordered and a directory of declarations is applied as a whole.
 type Configuration struct {
-	// Revision is the revision of this value in the platform's store. Later values have higher ones.
+	// Revision identifies this value. Later values have higher ones. In the platform's store, it
+	// names only the era of the store in which the value was written.
 	Revision uint64 `json:"revision"`
 	// WriteID identifies the write that made this revision, so that a writer that lost the answer
 	// of the store can tell whether its write succeeded.
