A write whose answer was lost and that comes late changes nothing later

The registration's write had no condition. The stand-in executes such writes late. Why it works: the second write uses up the condition that the late one needs.

--- a/registry/registration.go
+++ b/registry/registration.go
@@ -81,16 +81,18 @@
 // from before a restart, register renews its lease without a write. This limits the load on the store
 // when all processes restart at once after a power loss.
 func (r *Registry) register(ctx context.Context, reg *registration) error {
-	taken, err := r.takeOver(ctx, reg)
-	if err != nil || taken {
+	revision, err := r.takeOver(ctx, reg)
+	if err != nil || reg.lease != 0 {
 		return err
 	}
 	if reg.lease, _, err = r.store.Grant(ctx, leaseTTL); err != nil {
 		return err
 	}
 	reg.era = r.store.Era()
+	// The condition stops a write whose answer was lost from taking effect after a later one.
 	_, err = r.store.Write(ctx, platform.Transaction{
-		Puts: []platform.Put{{Key: reg.key, Data: encodeEra(reg.era), Lease: reg.lease}},
+		Conditions: []platform.Condition{{Key: reg.key, Revision: revision}},
+		Puts:       []platform.Put{{Key: reg.key, Data: encodeEra(reg.era), Lease: reg.lease}},
 	})
 	if err == nil && r.store.Era() != reg.era {
 		return errors.WithMessage(platform.ErrNoLease, "the store was restored during a registration")
@@ -98,22 +100,38 @@
 	return err
 }
 
-// takeOver renews the lease that the address still has in the store, and reports whether it has one.
-func (r *Registry) takeOver(ctx context.Context, reg *registration) (bool, error) {
+// takeOver renews the lease that the address still has in the store, and sets the lease and era of
+// reg. If that fails, the lease stays 0, and takeOver returns the revision of the address's value, 0 if
+// there is none.
+func (r *Registry) takeOver(ctx context.Context, reg *registration) (uint64, error) {
 	previous, err := r.store.GetStale(ctx, reg.key)
 	if errors.Is(err, platform.ErrNotFound) {
-		return false, nil
+		return 0, nil
 	}
-	if err != nil || previous.Lease == 0 || r.store.KeepAlive(ctx, previous.Lease) != nil {
-		return false, err
+	if err != nil {
+		return 0, err
+	}
+	found := registration{key: reg.key, lease: previous.Lease, era: decodeEra(previous.Data)}
+	err = r.store.KeepAlive(ctx, found.lease)
+	if err == nil {
+		err = r.confirm(ctx, &found)
 	}
-	reg.lease = previous.Lease
-	reg.era = decodeEra(previous.Data)
-	err = r.confirm(ctx, reg)
 	if errors.Is(err, platform.ErrNoLease) {
-		return false, nil
+		return r.currentRevision(ctx, reg.key)
+	}
+	if err == nil {
+		*reg = found
+	}
+	return 0, err
+}
+
+// currentRevision returns the revision of a value, 0 if there is none.
+func (r *Registry) currentRevision(ctx context.Context, key string) (uint64, error) {
+	v, err := r.store.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
 	}
-	return err == nil, err
+	return v.Revision, err
 }
 
 // confirm makes sure that the address is in the store under the lease, if a new era began since that
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -239,3 +239,22 @@
 		}
 	}
 }
+
+// A registration whose answer was lost and that is executed only later does not replace the lease of
+// the registration after it, which is the one that is renewed.
+func TestLateRegistrationReplacesLease(t *testing.T) {
+	reg, s := newRegistry(t)
+	const late = 2 * time.Second
+	s.SetFaults(store.Faults{LoseAnswers: 1, Late: late})
+	keepRegistered(t, reg, registry.RoleSidecar, false)
+	await(t, reg, true, func(a registry.Addresses) []netip.AddrPort { return a.Sidecars })
+	key := "greengagedyke/sidecars/" + self.String()
+	before, err := s.Get(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(late)
+	if after, err := s.Get(key); err != nil || after.Lease != before.Lease {
+		t.Errorf("got lease %d, %v after the late write, want %d", after.Lease, err, before.Lease)
+	}
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -33,6 +33,9 @@
 	// LoseAnswers is the number of successful writes, from the next one on, whose connections are
 	// closed without an answer after the writes took effect.
 	LoseAnswers int `json:"lose-answers"`
+	// Late is how much later than their calls the writes of LoseAnswers are executed, if their
+	// conditions still hold then.
+	Late time.Duration `json:"late"`
 	// DownAfterLoss makes every call fail after the first lost answer, as Down does.
 	DownAfterLoss bool `json:"down-after-loss"`
 	// RestoreAfterLoss, if positive, restores the copy of this age after each lost answer.
--- a/standin/store/values.go
+++ b/standin/store/values.go
@@ -119,6 +119,10 @@
 
 // Write implements platform.Backend.
 func (r remoteStore) Write(w platform.Transaction) (uint64, []platform.Value, error) {
+	if late := r.lateness(); late > 0 {
+		time.AfterFunc(late, func() { _, _, _ = r.Store.Write(w) }) // fails if a condition no longer holds
+		r.dropAnswer()
+	}
 	revision, current, err := r.Store.Write(w)
 	if err == nil {
 		r.dropAnswer()
@@ -153,6 +157,16 @@
 	s.changed = make(chan struct{})
 }
 
+// lateness returns how much later the next write is to be executed.
+func (s *Store) lateness() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseAnswers == 0 {
+		return 0
+	}
+	return s.faults.Late
+}
+
 // dropAnswer decrements Faults.LoseAnswers and panics with http.ErrAbortHandler, which closes the
 // connection of the current call without an answer. It does nothing if Faults.LoseAnswers is zero.
 func (s *Store) dropAnswer() {
