The soak restores the store from older copies

What callers saw: nothing; this is a new fault of the soak. Change: every 6 s or so the store goes down for up to 2 s and comes back from a copy up to 15 s old; others write up to 60 values before it is up, and the operator writes its newest configuration 0.3 s later. These faults have a generator of their own, so that a seed has the same other faults as before.

--- a/soak/inject.go
+++ b/soak/inject.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"greengagedyke/platform"
 	"greengagedyke/standin/proxy"
 	"greengagedyke/standin/store"
 )
@@ -24,6 +27,12 @@
 	pathLoss = 0.2
 	// lostAnswerCount is the number of writes whose answers a StoreLosesAnswers fault drops.
 	lostAnswerCount = 3
+	// maxCopyAge is the largest age of the copy that a StoreRestored fault goes back to.
+	maxCopyAge = 15 * time.Second
+	// maxForeignWrites is the largest number of writes by others right after the store was restored.
+	maxForeignWrites = 60
+	// rewriteDelay is the time until the operator writes the newest configuration to the restored store.
+	rewriteDelay = 300 * time.Millisecond
 )
 
 // runFaults starts each fault of the plan at its time and returns when all have ended. It starts
@@ -78,6 +87,8 @@
 		cutPath(p.heartbeatPath, f.Duration)
 	case RouteChanged:
 		return s.moveRoute()
+	case StoreRestored:
+		return s.restoreStore(f)
 	default:
 		s.applyToPath(f, b)
 		s.applyToStore(f)
@@ -219,3 +230,23 @@
 	}
 	return s.configure(last.version+3, moving)
 }
+
+// restoreStore takes the store down, brings it back from an older copy, and writes the newest
+// configuration again. Before, others write as many values as f.Target says, so that the store's
+// revision may pass the lost ones before the processes call it again.
+func (s *site) restoreStore(f *Fault) error {
+	s.store.SetFaults(store.Faults{Down: true})
+	time.Sleep(f.Duration)
+	s.configureMu.Lock()
+	defer s.configureMu.Unlock()
+	s.store.Restore(time.Duration(f.Target) * maxCopyAge / (1 << 16))
+	for range f.Target % maxForeignWrites {
+		if _, _, err := s.store.Write(platform.Transaction{Puts: []platform.Put{{Key: "others/value"}}}); err != nil {
+			return errors.Wrap(err, "soak: write by others")
+		}
+	}
+	s.store.SetFaults(store.Faults{})
+	time.Sleep(rewriteDelay)
+	newest := s.newestConfiguration()
+	return s.writeConfiguration(newest.version, newest.movingService)
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -48,6 +48,10 @@
 	faultDurationRange = 4 * time.Second
 	// storeDownLead is how long before the power loss the store goes down.
 	storeDownLead = time.Second
+	// meanRestoreInterval is the mean time between the starts of two StoreRestored faults.
+	meanRestoreInterval = 6 * time.Second
+	// maxRestoreDuration is the longest time that the store is down before it is restored.
+	maxRestoreDuration = 2 * time.Second
 )
 
 // Defaults sets Duration, Balancers, Sidecars and Boards to their defaults where they are zero.
@@ -104,12 +108,13 @@
 	PathLossy          FaultKind = "callers-path-lossy"        // packets between callers and one balancer are lost
 	PathDelayed        FaultKind = "callers-path-delayed"      // packets between callers and one balancer are delayed
 	PathCut            FaultKind = "callers-path-cut"          // no packets pass between callers and one balancer
+	StoreRestored      FaultKind = "store-restored"            // the store is down, and comes back from an older copy
 	RouteChanged       FaultKind = "route-changed"             // movingAddr is routed to the other service
 	PowerLost          FaultKind = "power-lost"                // all processes and upstreams are killed at the same time
 )
 
 // faultWeights are the relative frequencies of the kinds in a plan. PowerLost is missing because
-// it is never drawn: Options.PowerLoss adds it.
+// it is never drawn: Options.PowerLoss adds it. restorations adds StoreRestored.
 var faultWeights = []struct {
 	kind   FaultKind
 	weight int
@@ -169,6 +174,7 @@
 		f.Duration = min(time.Duration(200+r.IntN(int(faultDurationRange/time.Millisecond)))*time.Millisecond, end-at)
 		plan = append(plan, f)
 	}
+	plan = append(plan, restorations(o, end)...)
 	if o.PowerLoss {
 		at := end - faultDurationRange/2
 		plan = append(plan,
@@ -179,3 +185,15 @@
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
+
+// restorations returns the StoreRestored faults of a plan whose faults end at end. They have a generator
+// of their own, so that a seed has the same other faults as before this kind was added.
+func restorations(o *Options, end time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(o.Seed, 1))
+	var plan []Fault
+	next := func() time.Duration { return time.Duration(r.ExpFloat64() * float64(meanRestoreInterval)) }
+	for at := warmupTime + next(); at < end-maxRestoreDuration; at += next() {
+		plan = append(plan, Fault{At: at, Kind: StoreRestored, Target: r.IntN(1 << 16), Duration: time.Duration(r.Int64N(int64(maxRestoreDuration - rewriteDelay)))})
+	}
+	return plan
+}
--- a/soak/site.go
+++ b/soak/site.go
@@ -371,22 +371,26 @@
 	return list
 }
 
-// configure writes an operator configuration directly into the store, without the network, and adds it
-// to configurations.
+// configure writes an operator configuration to the store and adds it to configurations.
 func (s *site) configure(version int, movingService string) error {
+	if err := s.writeConfiguration(version, movingService); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configurations = append(s.configurations, configuration{version: version, movingService: movingService, writtenAt: time.Now()})
+	return nil
+}
+
+// writeConfiguration writes an operator configuration directly into the store, without the network.
+func (s *site) writeConfiguration(version int, movingService string) error {
 	_, _, err := s.store.Write(platform.Transaction{Puts: []platform.Put{platform.EncodeOperatorConfiguration(version,
 		platform.ServiceRoute{Addr: boardAddr, Service: coreService},
 		platform.ServiceRoute{Addr: swapAddr, Service: coreService},
 		platform.ServiceRoute{Addr: sheetAddr, Service: sheetService},
 		platform.ServiceRoute{Addr: movingAddr, Service: movingService},
 	)}})
-	if err != nil {
-		return errors.Wrapf(err, "soak: write of configuration version %d", version)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.configurations = append(s.configurations, configuration{version: version, movingService: movingService, writtenAt: time.Now()})
-	return nil
+	return errors.Wrapf(err, "soak: write of configuration version %d", version)
 }
 
 // newestConfiguration returns the configuration that was written last.
