A lost configuration is written again under its own revision

Cause: a configuration that a balancer wrote to the restored store got a revision of the new era. If two balancers knew different lost ones, the earlier one could be written first and then outrank the later one everywhere: an accepted change would have been taken back. Change: the value keeps the configuration's whole revision; a change that is new in the era ranks above it. Why it works: writing again changes the place of a configuration in the order no more than gossip does.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -189,23 +189,18 @@
 	}
 }
 
-// writeLost writes the node's configuration to the store if the store came back from a copy without
-// it. stored is the revision in the store. writeLost tries again until it succeeds, another process has
-// written a configuration, or ctx ends.
+// writeLost writes the node's configuration to the store again if the store came back from a copy
+// without it. stored is the revision in the store. writeLost tries until it succeeds, another process
+// has written a configuration, or ctx ends.
 func (b *Balancer) writeLost(ctx context.Context, store *platform.ConfigurationStore, stored uint64) {
 	for ctx.Err() == nil {
-		cfg := *b.node.Configuration()
-		lost := cfg.Revision
-		if stored >= lost || !store.Restored(lost) {
+		cfg := b.node.Configuration()
+		if stored >= cfg.Revision || !store.Restored(cfg.Revision) {
 			return
 		}
-		err := store.Write(ctx, &cfg, stored)
-		b.log.Warn("configuration-written-again", "lost", lost, "stored", stored, "revision", cfg.Revision, "error", daemon.ErrorText(err))
-		if err == nil {
-			b.node.Adopt(&cfg)
-			return
-		}
-		if errors.As(err, new(*platform.ConflictError)) {
+		err := store.WriteAgain(ctx, cfg, stored)
+		b.log.Warn("configuration-written-again", "revision", cfg.Revision, "stored", stored, "error", daemon.ErrorText(err))
+		if err == nil || errors.As(err, new(*platform.ConflictError)) {
 			return
 		}
 		daemon.Sleep(ctx, storeRetryInterval)
