The soak orders requests by when a balancer can have routed them

What callers saw: nothing; the check was wrong. Cause: the check compared sending times. The flow of 16:50:50.18 opened by its second retransmission at 50.78, under version 4 (log: retransmissions 2); the one sent at 50.58 was routed under version 1, which was in force until 50.63. No balancer went back. Change: evidence of a version counts from when the flow was open, for requests that were sent later. The 250 ms and 1.4 s of allowance for packets under way are gone: the check is stricter where it applies.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -32,9 +32,6 @@
 	// leavingUpstreamLimit is how long an upstream may still get new flows after its heartbeat
 	// with the state leaving was acknowledged.
 	leavingUpstreamLimit = 3 * time.Second
-	// maxPacketDelay is how long a packet may be under way. Requests whose sending times differ by
-	// at most this may reach a balancer in either order.
-	maxPacketDelay = 250 * time.Millisecond
 )
 
 // workload generates the callers' requests and checks their results.
@@ -67,8 +64,9 @@
 // moveRequest is an answered request to movingAddr.
 type moveRequest struct {
 	name string
-	// sentAt is when the caller began to open the flow.
-	sentAt time.Time
+	// sentAt is when the caller began to open the flow, openedAt when it was open. The balancer routed
+	// it in between.
+	sentAt, openedAt time.Time
 	// balancer is the index in site.balancers of the balancer that routed the flow; incarnation is
 	// the number of starts of that balancer when it did so.
 	balancer, incarnation int
@@ -202,6 +200,7 @@
 		return
 	}
 	defer f.Close()
+	m.openedAt = time.Now()
 	requestCtx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	m.name = l.newRequest(kindMove)
--- a/soak/check.go
+++ b/soak/check.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -76,50 +75,42 @@
 	}
 }
 
-// checkNeverBack checks that no balancer incarnation returns to an older configuration: in the order of
-// sending, the services at which its requests to movingAddr ran must fit a sequence of configurations
-// whose versions never decrease.
+// checkNeverBack checks that no balancer incarnation returns to an older configuration: if a request to
+// movingAddr was sent after the flow of another one was open, it must not have run as only an older
+// configuration than for the other one allows.
 func (l *workload) checkNeverBack(runs map[string]runRecord) {
-	type balancerIncarnation struct{ balancer, incarnation int }
-	type progress struct {
-		// minIndex is the index in site.configurations of the oldest configuration that the
-		// incarnation may still use, given its requests so far.
-		minIndex int
-		// raisedAt is when the request that last raised minIndex was sent.
-		raisedAt time.Time
-	}
-	slices.SortFunc(l.moveRequests, func(a, b moveRequest) int { return cmp.Compare(a.sentAt.UnixNano(), b.sentAt.UnixNano()) })
-	progressOf := map[balancerIncarnation]progress{}
-	for _, m := range l.moveRequests {
-		p := balancerIncarnation{m.balancer, m.incarnation}
-		seen := progressOf[p]
-		index := l.oldestConfigurationFor(runs[m.name].service, seen.minIndex, m.sentAt)
-		switch {
-		case index > seen.minIndex:
-			progressOf[p] = progress{minIndex: index, raisedAt: m.sentAt}
-		case index < 0 && m.sentAt.Sub(seen.raisedAt) > maxPacketDelay:
+	byOpening := slices.SortedFunc(slices.Values(l.moveRequests), func(a, b moveRequest) int { return a.openedAt.Compare(b.openedAt) })
+	// minIndexes hold for each opened request the index in site.configurations of the oldest
+	// configuration that its balancer incarnation may have used, given the requests before.
+	minIndexes := make([]int, len(byOpening))
+	for i, m := range byOpening {
+		minIndex := 0
+		for j, earlier := range byOpening[:i] {
+			sameProcess := m.balancer == earlier.balancer && m.incarnation == earlier.incarnation
+			if sameProcess && earlier.openedAt.Before(m.sentAt) {
+				minIndex = max(minIndex, minIndexes[j])
+			}
+		}
+		minIndexes[i] = l.oldestConfigurationFor(runs[m.name].service, minIndex, m.openedAt)
+		if minIndexes[i] < 0 {
 			l.site.recorder.addViolation("never-back", "balancer %d sent %s to %s after it had used configuration version %d", m.balancer, m.name,
-				runs[m.name].service, l.site.configurations[seen.minIndex].version)
+				runs[m.name].service, l.site.configurations[minIndex].version)
 		}
 	}
 }
 
 // oldestConfigurationFor returns the index of the oldest configuration, at index from or later, that
-// routes movingAddr to service, or -1 if there is none. It ignores configurations that were written
-// after sentAt+flowOpenTimeout, because a flow that a caller began to open at sentAt was routed by
-// then.
-func (l *workload) oldestConfigurationFor(service string, from int, sentAt time.Time) int {
+// routes movingAddr to service, or -1 if there is none. It ignores configurations whose write
+// began after openedAt, because the flow was routed by then.
+func (l *workload) oldestConfigurationFor(service string, from int, openedAt time.Time) int {
 	for i, c := range l.site.configurations {
-		if i >= from && c.movingService == service && c.writtenAt.Before(sentAt.Add(flowOpenTimeout)) {
+		if i >= from && c.movingService == service && c.begunAt.Before(openedAt) {
 			return i
 		}
 	}
 	return -1
 }
 
-// flowOpenTimeout is how long a caller tries to open a flow, as in package flowtest.
-const flowOpenTimeout = 1400 * time.Millisecond
-
 // checkRecovered checks each full second of the run that begins more than recoveryTime after the last
 // fault ended: at least one request must have been answered in it, and none must have failed.
 func (l *workload) checkRecovered(faultsEndedAt time.Time) {
--- a/soak/site.go
+++ b/soak/site.go
@@ -124,8 +124,8 @@
 	version int
 	// movingService is the service that movingAddr is routed to.
 	movingService string
-	// writtenAt is when the store acknowledged the write.
-	writtenAt time.Time
+	// begunAt is when the write began, writtenAt when the store acknowledged it.
+	begunAt, writtenAt time.Time
 }
 
 // newSite starts a site in a free address block. Its method close stops it.
@@ -373,12 +373,13 @@
 
 // configure writes an operator configuration to the store and adds it to configurations.
 func (s *site) configure(version int, movingService string) error {
+	begunAt := time.Now()
 	if err := s.writeConfiguration(version, movingService); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.configurations = append(s.configurations, configuration{version: version, movingService: movingService, writtenAt: time.Now()})
+	s.configurations = append(s.configurations, configuration{version: version, movingService: movingService, begunAt: begunAt, writtenAt: time.Now()})
 	return nil
 }
 
