The store of the own configuration moves from platform to operator

Change: configuration.go and its tests move unchanged but for names; platform.Watcher serves both configurations, so the reader of the operator's configuration is no type of its own. No check is taken out: the tests of platform_test.go stand in operator/configuration_store_test.go.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -96,7 +96,7 @@
 	defer api.Close()
 	client, closeClient := platform.New(b.log, b.cfg.Store, registry)
 	defer closeClient()
-	store := platform.NewConfigurationStore(client)
+	store := operator.NewConfigurationStore(client)
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer daemon.StartAll(runCtx, stop,
 		func(ctx context.Context) { session.Serve(ctx, b.log, sessions, credentials, b.node.Handle) },
@@ -170,7 +170,7 @@
 // watchStore makes the node adopt every configuration that is written to the store, until ctx ends. It
 // writes the node's configuration to a store that has lost it. Only some balancers of each failure
 // domain, its store readers, watch the store.
-func (b *Balancer) watchStore(ctx context.Context, store *platform.ConfigurationStore) {
+func (b *Balancer) watchStore(ctx context.Context, store *operator.ConfigurationStore) {
 	for ctx.Err() == nil {
 		if !b.node.IsStoreReader() {
 			daemon.Sleep(ctx, storeRetryInterval)
@@ -192,7 +192,7 @@
 // writeLost writes the node's configuration to the store again if the store came back from a copy
 // without it. stored is the revision in the store. writeLost tries until it succeeds, another process
 // has written a configuration, or ctx ends.
-func (b *Balancer) writeLost(ctx context.Context, store *platform.ConfigurationStore, stored uint64) {
+func (b *Balancer) writeLost(ctx context.Context, store *operator.ConfigurationStore, stored uint64) {
 	for ctx.Err() == nil {
 		cfg := b.node.Configuration()
 		if stored >= cfg.Revision || !store.Restored(cfg.Revision) {
--- a/balancer/configuration_source.go
+++ b/balancer/configuration_source.go
@@ -115,14 +115,14 @@
 
 // watch applies the configurations in the store, by watching or polling it, until ctx ends.
 func (s *configurationSource) watch(ctx context.Context) {
-	store := platform.NewOperatorConfigurationReader(s.client)
+	store := platform.WatchOperatorConfiguration(s.client)
 	for ctx.Err() == nil {
-		data, err := s.next(ctx, store)
+		v, err := s.next(ctx, store)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
-			s.applyEncoded(data, "store")
+			s.applyEncoded(v.Data, "store")
 		}
 		reachable := err == nil || errors.Is(err, platform.ErrUnchanged)
 		s.mu.Lock()
@@ -167,7 +167,7 @@
 // next returns the next configuration from the store. A watcher, or a balancer without a
 // configuration, waits for a change; it gets platform.ErrUnchanged if there is none in time, or if it
 // became an active watcher meanwhile. Any other balancer polls the store after idleReadInterval.
-func (s *configurationSource) next(ctx context.Context, store *platform.OperatorConfigurationReader) ([]byte, error) {
+func (s *configurationSource) next(ctx context.Context, store *platform.Watcher) (platform.Value, error) {
 	now := s.clock.Now()
 	s.mu.Lock()
 	idle := len(s.encoded) > 0 && !s.watchers.watching(now)
@@ -185,14 +185,14 @@
 		s.cancelWait = cancel
 	}
 	s.mu.Unlock()
-	data, err := store.Next(watchCtx, wait)
+	v, err := store.Next(watchCtx, wait)
 	s.mu.Lock()
 	s.cancelWait = func() {}
 	s.mu.Unlock()
 	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
-		return nil, platform.ErrUnchanged
+		return platform.Value{}, platform.ErrUnchanged
 	}
-	return data, err
+	return v, err
 }
 
 // observePeer handles a peer's gossip: which balancers reach the store, and which version of the
--- a/balancer/restored_store_test.go
+++ b/balancer/restored_store_test.go
@@ -31,7 +31,7 @@
 	nodes   []*control.Node
 	clients []*operator.Client
 	// reader reads the configuration in the store.
-	reader *platform.ConfigurationStore
+	reader *operator.ConfigurationStore
 }
 
 // newTestBalancers starts n balancers. They end with the test.
@@ -53,8 +53,8 @@
 func (b *testBalancers) start(storeAddr netip.AddrPort, identity string) {
 	log := slog.New(slog.DiscardHandler)
 	client, closeClient := platform.New(log, storeAddr, metrics.NewRegistry())
-	b.reader = platform.NewConfigurationStore(client)
-	configurations := platform.NewConfigurationStore(client)
+	b.reader = operator.NewConfigurationStore(client)
+	configurations := operator.NewConfigurationStore(client)
 	node := control.NewNode(log, member.Record{Role: member.RoleBalancer, Identity: identity, State: member.StateReady}, timeline.NewRing(identity, timeline.NewClock(time.Now)))
 	watcher := &Balancer{log: log, node: node}
 	ctx, cancel := context.WithCancel(b.t.Context())
--- a/platform/configuration.go
+++ b/operator/configuration_store.go
@@ -1,4 +1,4 @@
-package platform
+package operator
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"greengagedyke/platform"
 	"greengagedyke/service"
 )
 
@@ -23,24 +24,24 @@
 // configurationRevision returns the revision of a configuration that was written at a position: the
 // era in the upper bits and the store's revision in the others. Of two configurations the later one
 // has the higher revision, also if the store was restored in between and lost the earlier one.
-func configurationRevision(p Position) uint64 { return p.Era<<eraShift | p.Revision }
+func configurationRevision(p platform.Position) uint64 { return p.Era<<eraShift | p.Revision }
 
 // positionOf returns the position at which the configuration of a revision was written.
-func positionOf(revision uint64) Position {
-	return Position{Era: revision >> eraShift, Revision: revision & (1<<eraShift - 1)}
+func positionOf(revision uint64) platform.Position {
+	return platform.Position{Era: revision >> eraShift, Revision: revision & (1<<eraShift - 1)}
 }
 
 // ConfigurationStore reads and writes this system's own configuration, which is one value in the
 // platform's store. The stored value names the era in which the configuration was written first, or its
 // whole revision if it was written again in a later one. Watch must not be called concurrently.
 type ConfigurationStore struct {
-	client  *Client
-	watcher watcher
+	client  *platform.Client
+	watcher *platform.Watcher
 }
 
 // NewConfigurationStore returns a ConfigurationStore that uses client c.
-func NewConfigurationStore(c *Client) *ConfigurationStore {
-	return &ConfigurationStore{client: c, watcher: watcher{client: c, key: configurationKey}}
+func NewConfigurationStore(c *platform.Client) *ConfigurationStore {
+	return &ConfigurationStore{client: c, watcher: platform.NewWatcher(c, configurationKey)}
 }
 
 // Read returns the configuration in the store; an empty one with revision 0 if there is none.
@@ -57,14 +58,14 @@
 }
 
 // Watch returns the current configuration on its first call, and after a failed one. Otherwise it
-// waits for a newer one, and returns ErrUnchanged if none is written within watchWait.
+// waits for a newer one, and returns platform.ErrUnchanged if none is written within watchWait.
 func (s *ConfigurationStore) Watch(ctx context.Context) (*service.Configuration, error) {
-	return decodeConfiguration(s.watcher.next(ctx, watchWait))
+	return decodeConfiguration(s.watcher.Next(ctx, watchWait))
 }
 
 // decodeConfiguration decodes a stored value; a missing one is an empty configuration.
-func decodeConfiguration(v Value, err error) (*service.Configuration, error) {
-	if errors.Is(err, ErrNotFound) {
+func decodeConfiguration(v platform.Value, err error) (*service.Configuration, error) {
+	if errors.Is(err, platform.ErrNotFound) {
 		return &service.Configuration{}, nil
 	}
 	if err != nil {
@@ -72,10 +73,10 @@
 	}
 	cfg := &service.Configuration{}
 	if err := json.Unmarshal(v.Data, cfg); err != nil {
-		return nil, errors.Wrap(err, "platform.ConfigurationStore: stored value")
+		return nil, errors.Wrap(err, "operator.ConfigurationStore: stored value")
 	}
 	if p := positionOf(cfg.Revision); p.Revision == 0 {
-		cfg.Revision = configurationRevision(Position{Era: p.Era, Revision: v.Revision})
+		cfg.Revision = configurationRevision(platform.Position{Era: p.Era, Revision: v.Revision})
 	}
 	return cfg, nil
 }
@@ -97,8 +98,8 @@
 	}
 	// The value names an earlier era than the one in which it was written, or is lost.
 	err = s.writeNew(ctx, cfg, cfg.Revision)
-	if errors.As(err, new(*ConflictError)) {
-		return errors.WithMessage(ErrAnswerLost, "the store was restored after the write")
+	if errors.As(err, new(*platform.ConflictError)) {
+		return errors.WithMessage(platform.ErrAnswerLost, "the store was restored after the write")
 	}
 	return err
 }
@@ -106,7 +107,7 @@
 // writeNew makes one attempt of Write.
 func (s *ConfigurationStore) writeNew(ctx context.Context, cfg *service.Configuration, expected uint64) error {
 	value := *cfg
-	value.Revision = configurationRevision(Position{Era: s.client.Era()})
+	value.Revision = configurationRevision(platform.Position{Era: s.client.Era()})
 	revision, err := s.write(ctx, &value, expected)
 	if err == nil {
 		cfg.Revision = revision
@@ -125,7 +126,7 @@
 func (s *ConfigurationStore) write(ctx context.Context, value *service.Configuration, expected uint64) (uint64, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		return 0, errors.Wrap(err, "platform.ConfigurationStore.write")
+		return 0, errors.Wrap(err, "operator.ConfigurationStore.write")
 	}
 	w := configurationWrite{value: value, data: data, expected: expected, condition: positionOf(expected).Revision, era: s.client.Era()}
 	if s.Restored(expected) {
@@ -136,7 +137,7 @@
 			return 0, err
 		}
 		if stored.Revision != expected {
-			return 0, &ConflictError{Revision: stored.Revision}
+			return 0, &platform.ConflictError{Revision: stored.Revision}
 		}
 		w.condition = revision
 	}
@@ -152,7 +153,7 @@
 
 // errPending means that a write whose response was lost has not taken effect, and may still do so
 // later.
-var errPending = errors.WithMessage(ErrAnswerLost, "the write may take effect later")
+var errPending = errors.WithMessage(platform.ErrAnswerLost, "the write may take effect later")
 
 // configurationWrite is a write of the configuration.
 type configurationWrite struct {
@@ -168,19 +169,19 @@
 
 // send makes one attempt of a write and returns the revision of the written configuration.
 func (s *ConfigurationStore) send(ctx context.Context, w *configurationWrite) (uint64, error) {
-	revision, err := s.client.Write(ctx, Transaction{
-		Conditions: []Condition{{Key: configurationKey, Revision: w.condition}},
-		Puts:       []Put{{Key: configurationKey, Data: w.data}},
+	revision, err := s.client.Write(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: configurationKey, Revision: w.condition}},
+		Puts:       []platform.Put{{Key: configurationKey, Data: w.data}},
 	})
-	var conflict *ConflictError
+	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
-		cfg, err := decodeConfiguration(Value{Data: w.data, Revision: revision}, nil)
+		cfg, err := decodeConfiguration(platform.Value{Data: w.data, Revision: revision}, nil)
 		if err != nil {
 			return 0, err
 		}
 		return cfg.Revision, nil
-	case errors.Is(err, ErrAnswerLost), errors.As(err, &conflict):
+	case errors.Is(err, platform.ErrAnswerLost), errors.As(err, &conflict):
 		return s.resolve(ctx, w, err)
 	}
 	return 0, err
@@ -195,8 +196,8 @@
 		return 0, cause
 	case stored.WriteID == w.value.WriteID:
 		return stored.Revision, nil
-	case errors.As(cause, new(*ConflictError)):
-		return 0, &ConflictError{Revision: stored.Revision}
+	case errors.As(cause, new(*platform.ConflictError)):
+		return 0, &platform.ConflictError{Revision: stored.Revision}
 	case s.client.Era() == w.era && stored.Revision == w.expected:
 		return 0, errPending
 	}
--- a/platform/platform_test.go
+++ b/operator/configuration_store_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package operator_test
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"greengagedyke/operator"
 	"greengagedyke/platform"
 	"greengagedyke/service"
 	"greengagedyke/standin/store"
@@ -19,21 +20,21 @@
 
 // newStore starts a stand-in for the platform's store. It returns the store and a function that
 // returns a ConfigurationStore with a new client.
-func newStore(t *testing.T) (*store.Store, func() *platform.ConfigurationStore) {
+func newStore(t *testing.T) (*store.Store, func() *operator.ConfigurationStore) {
 	t.Helper()
 	s, addr, stop, err := store.Start(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(stop)
-	return s, func() *platform.ConfigurationStore {
+	return s, func() *operator.ConfigurationStore {
 		c, closeClient := platform.New(slog.New(slog.DiscardHandler), addr, metrics.NewRegistry())
 		t.Cleanup(closeClient)
-		return platform.NewConfigurationStore(c)
+		return operator.NewConfigurationStore(c)
 	}
 }
 
-func write(t *testing.T, c *platform.ConfigurationStore, id string, expected uint64) (*service.Configuration, error) {
+func write(t *testing.T, c *operator.ConfigurationStore, id string, expected uint64) (*service.Configuration, error) {
 	t.Helper()
 	cfg := &service.Configuration{WriteID: id}
 	return cfg, c.Write(t.Context(), cfg, expected)
