--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -199,7 +199,7 @@
 func (b *Balancer) writeLost(ctx context.Context, store *operator.ConfigurationStore, stored uint64) {
 	for ctx.Err() == nil {
 		cfg := b.node.Configuration()
-		if stored >= cfg.Revision || !store.Restored(cfg.Revision) {
+		if stored >= cfg.Revision || !store.RestoredSince(cfg.Revision) {
 			return
 		}
 		err := store.WriteAgain(ctx, cfg, stored)
--- a/operator/configuration_store.go
+++ b/operator/configuration_store.go
@@ -88,9 +88,9 @@
 	return named
 }
 
-// Restored reports whether the store was restored from an older copy after the configuration of a
+// RestoredSince reports whether the store was restored from an older copy after the configuration of a
 // revision was written, so that it may have lost it.
-func (s *ConfigurationStore) Restored(revision uint64) bool {
+func (s *ConfigurationStore) RestoredSince(revision uint64) bool {
 	return positionOf(revision).Era < s.client.Era()
 }
 
@@ -100,7 +100,7 @@
 // condition.
 func (s *ConfigurationStore) Write(ctx context.Context, cfg *service.Configuration, expected uint64) error {
 	err := s.writeNew(ctx, cfg, expected)
-	if err != nil || !s.Restored(cfg.Revision) {
+	if err != nil || !s.RestoredSince(cfg.Revision) {
 		return err
 	}
 	// The value names an earlier era than the one in which it was written, or is lost.
@@ -135,7 +135,7 @@
 		return 0, errors.Wrap(err, "operator.ConfigurationStore.write")
 	}
 	w := configurationWrite{value: value, data: data, expected: expected, condition: positionOf(expected).Revision, era: s.client.Era()}
-	if s.Restored(expected) {
+	if s.RestoredSince(expected) {
 		// The store's revision of the expected configuration is another one if it was written again, and
 		// may be that of another configuration.
 		stored, revision, err := s.read(ctx)
