Split the two largest test files of flow by subject

Cause: lookup_test.go had 815 lines, sidecar_test.go 668; tests of the membership, of costs and of the upstream's life stood between those of lookups and packets. Change: lookup_members_test.go, lookup_cost_test.go and sidecar_upstream_test.go; a move alone, no check is taken out: apart from imports the sorted lines before and after are the same.

--- /dev/null
+++ b/flow/sidecar_upstream_test.go
@@ -0,0 +1,313 @@
+package flow
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+func TestLeavingUpstreamKeepsItsFlowsAndGetsNoNewOnes(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	openFlow(t, s, now)
+	sendHeartbeat(t, s, Heartbeat{ID: "i-1", StartedAt: s.monitor.Last().StartedAt, Sequence: 2, State: StateLeaving}, now)
+	wantVerdict(t, s.FromTunnel(dataTunnelPacket(501), now), ActionUpstream, ReasonKnown)
+	tp := openingTunnelPacket()
+	tp.Packet.Key = NewKey(netip.MustParseAddrPort("100.64.0.8:1"), testService)
+	wantVerdict(t, s.FromTunnel(tp, now), ActionForward, ReasonUpstreamClosed)
+}
+
+// After a heartbeat with StateLeaving, an older one that arrives late does not make the upstream
+// ready again.
+func TestLateHeartbeatDoesNotReopen(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	started := now.Add(time.Second)
+	sendHeartbeat(t, s, Heartbeat{ID: "i-1", StartedAt: started, Sequence: 7, State: StateLeaving}, now)
+	for _, hb := range []Heartbeat{
+		{ID: "i-1", StartedAt: started, Sequence: 6, State: StateReady, Service: testServiceName},
+		{ID: "i-0", StartedAt: started.Add(-time.Hour), Sequence: 99, State: StateReady, Service: testServiceName},
+	} {
+		if got := s.Heartbeat(hb, now); got == HeartbeatAccepted || got == HeartbeatStarted {
+			t.Errorf("heartbeat %d of %v: got %v, want it ignored", hb.Sequence, hb.ID, got)
+		}
+	}
+	wantVerdict(t, s.FromTunnel(openingTunnelPacket(), now), ActionForward, ReasonUpstreamClosed)
+}
+
+// An upstream without recent heartbeats gets no new flows: its address may belong to another
+// service.
+func TestUpstreamWithoutHeartbeatsGetsNoNewFlows(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	wantVerdict(t, s.FromTunnel(openingTunnelPacket(), now.Add(2100*time.Millisecond)), ActionForward, ReasonUpstreamClosed)
+}
+
+// Flows of an upstream that was replaced have ended. Their callers are reset.
+func TestReplacedUpstreamEndsItsFlows(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	openFlow(t, s, now)
+	sendHeartbeat(t, s, Heartbeat{ID: "i-2", StartedAt: now.Add(time.Minute), Sequence: 1}, now)
+	wantVerdict(t, s.FromTunnel(dataTunnelPacket(501), now), ActionReset, ReasonUpstreamLost)
+	if got := querySidecar(s, testKey, 501, now); got != LookupResultEnded {
+		t.Errorf("got answer %v about a flow that ended with its upstream, want %v", got, LookupResultEnded)
+	}
+}
+
+// A caller's opening packets reached two upstreams, and one of them holds the flow. If the other
+// one is replaced, the flow goes on.
+func TestReplacedUpstreamWithoutTheFlow(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	wantVerdict(t, s.FromTunnel(openingTunnelPacket(), now), ActionUpstream, ReasonPlaced)
+	s.FromUpstream(fromUpstream(FlagOpen|FlagAck, 500, 0), now)
+	sendHeartbeat(t, s, Heartbeat{ID: "i-2", StartedAt: now.Add(time.Minute), Sequence: 1}, now)
+	v := s.FromTunnel(dataTunnelPacket(501+1<<30), now)
+	wantVerdict(t, v, ActionDrop, ReasonNotOurs)
+	if !v.NotHeld || querySidecar(s, testKey, 501+1<<30, now) != LookupResultNotHeld {
+		t.Errorf("got %+v, want %v notified that the flow is not held", v, testOrigin)
+	}
+}
+
+// The requests of an upstream that was replaced no longer count as busy.
+func TestReplacedUpstreamStartsIdle(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	for i := range 4 {
+		openAndRequest(t, s, i, now)
+	}
+	sendHeartbeat(t, s, Heartbeat{ID: "i-2", StartedAt: now.Add(time.Minute), Sequence: 1}, now)
+	if got := s.Load(now).Busy; got != 0 {
+		t.Errorf("got busy %d, want 0", got)
+	}
+	wantVerdict(t, openAndRequest(t, s, 9, now.Add(readyDelay)), ActionUpstream, ReasonKnown)
+}
+
+// A sidecar starts after its upstream has crashed, and so receives nothing from it. After a while,
+// it answers that no flow is held, so that lookups do not wait for it.
+func TestCrashedUpstreamHoldsNoFlows(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewSidecar(NewHeartbeatMonitor(2*time.Second), testServiceName, time.Minute, now, now)
+	wantVerdict(t, s.FromTunnel(dataTunnelPacket(501), now), ActionUpstream, ReasonProbe)
+	early := now.Add(probeInterval / 2)
+	if v := s.FromTunnel(dataTunnelPacket(501), early); v.NotHeld || querySidecar(s, testKey, 501, early) != LookupResultUncertain {
+		t.Error("answered that the flow is not held while the upstream may still answer the probe")
+	}
+	if got := querySidecar(s, testKey, 501, now.Add(crashedAfter/2)); got != LookupResultNeedsProbe {
+		t.Errorf("got answer %v while the upstream may still run, want %v", got, LookupResultNeedsProbe)
+	}
+	late := now.Add(crashedAfter + 1)
+	if got := querySidecar(s, testKey, 501, late); got == LookupResultNotHeld {
+		t.Error("a sidecar that was paused answered that the flow is not held")
+	}
+	for range crashedExpireCalls {
+		s.Expire(now)
+	}
+	wantNotHeld(t, s.FromTunnel(dataTunnelPacket(501), late))
+	if got := querySidecar(s, testKey, 501, late); got != LookupResultNotHeld {
+		t.Errorf("got answer %v for a crashed upstream, want %v", got, LookupResultNotHeld)
+	}
+	s.FromUpstream(fromUpstream(FlagAck, 900, 10), now.Add(crashedAfter+2))
+	other := dataTunnelPacket(501)
+	other.Packet.Key = NewKey(netip.MustParseAddrPort("100.64.0.9:7"), testService)
+	wantVerdict(t, s.FromTunnel(other, now.Add(crashedAfter+3)), ActionUpstream, ReasonProbe)
+}
+
+// An upstream is replaced, and the new one opens a flow before its first heartbeat arrives. The
+// flow belongs to the new upstream.
+func TestFlowOpenedBeforeTheFirstHeartbeat(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	started := now.Add(10 * time.Second)
+	sendHeartbeat(t, s, Heartbeat{ID: "i-1", StartedAt: now.Add(time.Second), Sequence: 8}, started)
+	opened := started.Add(200 * time.Millisecond)
+	openFlow(t, s, opened)
+	sendHeartbeat(t, s, Heartbeat{ID: "i-2", StartedAt: started.Add(100 * time.Millisecond), Sequence: 1}, opened.Add(100*time.Millisecond))
+	wantVerdict(t, s.FromTunnel(dataTunnelPacket(501), opened.Add(200*time.Millisecond)), ActionUpstream, ReasonKnown)
+}
+
+// A sidecar that has seen all flows of its upstream reports the largest age that they can have.
+// Otherwise, it reports 0.
+func TestMaxFlowAge(t *testing.T) {
+	const age = 10 * time.Second
+	for _, tt := range []struct {
+		name          string
+		upstreamStart time.Duration
+		replaced      bool
+		want          time.Duration
+	}{
+		{"started before the sidecar", -time.Second, false, 0},
+		{"started after it", time.Second, false, age + time.Second + 2*readyDelay},
+		{"started together with it", -readyDelay / 2, false, age + 2*readyDelay},
+		{"replaced", -time.Second, true, age / 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, now := testSidecar(t, tt.upstreamStart)
+			if tt.replaced {
+				sendHeartbeat(t, s, Heartbeat{ID: "i-1", StartedAt: now.Add(tt.upstreamStart), Sequence: 2}, now.Add(age/2))
+				sendHeartbeat(t, s, Heartbeat{ID: "i-2", StartedAt: now.Add(age - time.Second), Sequence: 1}, now.Add(age))
+			}
+			if got := s.Answer(&Query{}, now.Add(age)).MaxFlowAge; got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// An upstream has crashed and does not restart. Its flows are reset once its heartbeats have been
+// missing for a while, but not by a sidecar that was paused and may have missed them.
+func TestCrashedUpstreamEndsItsFlows(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	openFlow(t, s, now)
+	late := now.Add(crashedAfter + 1)
+	s.Expire(late)
+	wantVerdict(t, s.FromTunnel(dataTunnelPacket(501), late), ActionUpstream, ReasonKnown)
+	for range crashedExpireCalls {
+		s.Expire(late)
+	}
+	if got := querySidecar(s, testKey, 501, late); got != LookupResultEnded {
+		t.Errorf("got answer %v, want %v", got, LookupResultEnded)
+	}
+	wantVerdict(t, s.FromTunnel(dataTunnelPacket(501), late), ActionReset, ReasonUpstreamLost)
+}
+
+// The time of day is set back after the upstream has started, and the sidecar restarts. The
+// upstream then seems to have started later, but the sequence of its heartbeats shows that it did
+// not. The sidecar probes it for flows that it has not seen.
+func TestClockSetBackBeforeARestart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewSidecar(NewHeartbeatMonitor(2*time.Second), testServiceName, time.Minute, now, now)
+	sendHeartbeat(t, s, Heartbeat{ID: "i-1", StartedAt: now.Add(time.Hour), Sequence: 400}, now)
+	wantVerdict(t, s.FromTunnel(dataTunnelPacket(501), now), ActionUpstream, ReasonProbe)
+}
+
+// An upstream that has just started gets new flows only after readyDelay, also if the time of day
+// was set since. So a sidecar that restarts before that can rely on the upstream holding no flows.
+func TestNewUpstreamIsReadyAfterADelay(t *testing.T) {
+	for _, offset := range []time.Duration{0, time.Hour} {
+		start := time.Unix(1000, 0)
+		s := NewSidecar(NewHeartbeatMonitor(2*time.Second), testServiceName, time.Minute, start, start)
+		sendHeartbeat(t, s, Heartbeat{ID: "i-1", StartedAt: start.Add(offset), Sequence: 1}, start)
+		if got := s.State(start); got != StateWaiting || s.ReadyIn(start) != readyDelay {
+			t.Errorf("started after %v: got %v, ready in %v; want %v, %v", offset, got, s.ReadyIn(start), StateWaiting, readyDelay)
+		}
+		if got := s.State(start.Add(readyDelay)); got != StateReady {
+			t.Errorf("started after %v: got %v after readyDelay, want %v", offset, got, StateReady)
+		}
+	}
+}
+
+// Nothing listens at the upstream's address for endGrace, so the upstream counts as absent: its
+// flows have ended, and it gets no new ones. A heartbeat makes it ready again.
+func TestAbsentUpstream(t *testing.T) {
+	s, now := testSidecar(t, -time.Second)
+	openFlow(t, s, now)
+	if s.NeedsListenCheck(now) {
+		t.Error("a listen check is due right after a heartbeat")
+	}
+	late := now.Add(heartbeatMissingAfter + time.Millisecond)
+	if !s.NeedsListenCheck(late) {
+		t.Error("no listen check is due though heartbeats are missing")
+	}
+	s.RecordListening(false, now.Add(-time.Second)) // ignored, since a heartbeat arrived after it
+	s.RecordListening(false, late)
+	late = late.Add(endGrace - time.Millisecond)
+	if s.RecordListening(false, late) {
+		t.Error("absent before endGrace has passed")
+	}
+	wantVerdict(t, s.FromTunnel(dataTunnelPacket(501), late), ActionUpstream, ReasonKnown)
+	s.RecordListening(true, late)
+	s.RecordListening(false, late)
+	late = late.Add(endGrace)
+	if !s.RecordListening(false, late) {
+		t.Error("not absent after endGrace")
+	}
+	if l := s.Load(late); l.State != StateWaiting || !l.UpstreamEnded {
+		t.Errorf("got %v, ended %v; want %v, true", l.State, l.UpstreamEnded, StateWaiting)
+	}
+	if got := querySidecar(s, testKey, 501, late); got != LookupResultEnded {
+		t.Errorf("got answer %v about a flow of the upstream, want %v", got, LookupResultEnded)
+	}
+	if got := querySidecar(s, keyOf(7), 501, late); got != LookupResultNotHeld {
+		t.Errorf("got answer %v about another flow, want %v", got, LookupResultNotHeld)
+	}
+	wantVerdict(t, s.FromTunnel(dataTunnelPacket(501), late), ActionReset, ReasonUpstreamLost)
+	sendHeartbeat(t, s, Heartbeat{ID: "i-1", StartedAt: s.monitor.Last().StartedAt, Sequence: 2}, late)
+	if got := s.State(late); got != StateReady {
+		t.Errorf("got %v after a heartbeat, want %v", got, StateReady)
+	}
+}
+
+// orphanedFlows returns the flows that ForEachOrphan reports, with their acknowledgement numbers.
+func orphanedFlows(s *Sidecar, now time.Time) map[Key]uint32 {
+	acks := map[Key]uint32{}
+	s.ForEachOrphan(now, func(k Key, ack uint32) { acks[k] = ack })
+	return acks
+}
+
+// An upstream is replaced while the callers of its flows are idle. The callers are reset, once, so
+// that they send their next request on a new flow. A caller whose flow another upstream may hold is
+// not reset.
+func TestOrphanedFlows(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	openFlow(t, s, now)
+	s.FromUpstream(fromUpstream(FlagAck, 501, 100), now)
+	unchosen := openingTunnelPacket()
+	unchosen.Packet.Key = keyOf(1)
+	s.FromTunnel(unchosen, now)
+	s.FromUpstream(&Packet{Key: keyOf(1), Flags: FlagOpen | FlagAck, Sequence: 900}, now)
+	if got := orphanedFlows(s, now); len(got) != 0 {
+		t.Errorf("got orphans %v before the upstream was replaced, want none", got)
+	}
+	sendHeartbeat(t, s, Heartbeat{ID: "i-2", StartedAt: now.Add(time.Minute), Sequence: 1}, now)
+	if got := orphanedFlows(s, now); len(got) != 1 || got[testKey] != 601 {
+		t.Errorf("got orphans %v, want %v with acknowledgement number 601", got, testKey)
+	}
+	if got := orphanedFlows(s, now); len(got) != 0 {
+		t.Errorf("got orphans %v a second time, want none", got)
+	}
+}
+
+// An upstream that has announced its end and no longer listens may still serve its flows. They are
+// reset only once there was no data or heartbeat for endGrace.
+func TestEndingUpstreamKeepsServing(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	openFlow(t, s, now)
+	s.End("i-1", now)
+	if s.Load(now).UpstreamEnded || !s.Load(now.Add(endGrace+1)).UpstreamEnded {
+		t.Error("not reported as ended exactly from endGrace on")
+	}
+	countOrphans := func(at time.Time) int {
+		if s.NeedsListenCheck(at) {
+			s.RecordListening(false, at)
+		}
+		return len(orphanedFlows(s, at))
+	}
+	if n := countOrphans(now) + countOrphans(now.Add(endGrace-time.Millisecond)); n != 0 {
+		t.Errorf("got %d orphans before endGrace has passed, want none", n)
+	}
+	lastServed := now.Add(endGrace - time.Millisecond)
+	s.FromUpstream(fromUpstream(FlagAck, 501, 100), lastServed)
+	if n := countOrphans(now.Add(endGrace)) + countOrphans(now.Add(endGrace+time.Millisecond)); n != 0 {
+		t.Errorf("got %d orphans though the upstream has just sent data, want none", n)
+	}
+	if n := countOrphans(now.Add(2*endGrace + time.Millisecond)); n != 1 {
+		t.Errorf("got %d orphans, want 1", n)
+	}
+}
+
+// After a power loss, an upstream does not restart, but its VM still acknowledges, resets and
+// returns packets of the upstream's flows. The upstream counts as absent nevertheless.
+func TestUpstreamThatSendsNoDataIsAbsent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewSidecar(NewHeartbeatMonitor(2*time.Second), testServiceName, time.Minute, now, now)
+	s.RecordListening(false, now)
+	for _, p := range []*Packet{
+		fromUpstream(FlagAck, 900, 0), fromUpstream(FlagReset, 0, 0), fromUpstream(FlagAck|FlagBounced, 900, 10),
+	} {
+		now = now.Add(endGrace / 3)
+		s.FromUpstream(p, now)
+	}
+	if !s.RecordListening(false, now.Add(time.Millisecond)) {
+		t.Error("not absent after endGrace")
+	}
+	now = now.Add(time.Second)
+	s.FromUpstream(fromUpstream(FlagAck, 900, 10), now)
+	if s.State(now) == StateWaiting && s.UpstreamEnded(now) {
+		t.Error("absent though it has just sent data")
+	}
+}
