--- a/operator/configuration_store.go
+++ b/operator/configuration_store.go
@@ -18,7 +18,8 @@
 	watchWait = 10 * time.Second
 )
 
-// eraShift is the number of bits of a configuration's revision below the era.
+// eraShift is the number of bits, the lowest ones, of a configuration's revision that hold the store's
+// revision. The bits above hold the era.
 const eraShift = 40
 
 // configurationRevision returns the revision of a configuration that was written at a position: the
@@ -103,7 +104,7 @@
 	if err != nil || !s.RestoredSince(cfg.Revision) {
 		return err
 	}
-	// The value names an earlier era than the one in which it was written, or is lost.
+	// A new era began around the write: the value is lost, or names the era before the one it is in.
 	if err := s.writeNew(ctx, cfg, cfg.Revision); err != nil {
 		return errors.WithMessage(platform.ErrAnswerLost, "the store was restored around the write: "+err.Error())
 	}
@@ -136,8 +137,8 @@
 	}
 	w := configurationWrite{value: value, data: data, expected: expected, condition: positionOf(expected).Revision, era: s.client.Era()}
 	if s.RestoredSince(expected) {
-		// The store's revision of the expected configuration is another one if it was written again, and
-		// may be that of another configuration.
+		// The lower bits of expected cannot be the condition: the store may since have given that revision
+		// to another configuration, and another revision to the expected one when it was written again.
 		stored, revision, err := s.read(ctx)
 		if err != nil {
 			return 0, err
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -216,7 +216,7 @@
 
 // After the store came back from an older copy, the list of sidecars counts as complete only once all
 // that it lists have registered in the new era.
-func TestListIsIncompleteAfterRestore(t *testing.T) {
+func TestRestoredListCountsAsComplete(t *testing.T) {
 	reg, s := newRegistry(t)
 	read := func() (found registry.Addresses) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -232,8 +232,8 @@
 }
 
 // restoreStore takes the store down, brings it back from an older copy, and writes the newest
-// configuration again. Before, others write as many values as f.Target says, so that the store's
-// revision may pass the lost ones before the processes call it again.
+// configuration again. While the store is still down, others write values, how many depends on f.Target,
+// so that the store's revision may pass the lost ones before the processes call it again.
 func (s *site) restoreStore(f *Fault) error {
 	s.store.SetFaults(store.Faults{Down: true})
 	time.Sleep(f.Duration)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -66,8 +66,8 @@
 	revision uint64
 	// era is the number of calls of Restore.
 	era uint64
-	// copies are the states after the changes of the last maxCopyAge, oldest first, and the state
-	// before them.
+	// copies holds the state before the changes of the last maxCopyAge and the states after each of
+	// them, oldest first.
 	copies []storeCopy
 	// changed is closed and replaced at each change.
 	changed      chan struct{}
