--- /dev/null
+++ b/review/rig/cases.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+)
+
+const (
+	// target is the sidecar that the trouble concerns, and flowCount the number of flows at its backend.
+	target    = 0
+	flowCount = 4
+	// stableWindow is longer than stable_window_ms, after which calm machines are in touch.
+	stableWindow = 5 * time.Second
+	// clockStepSize is the step of clock_step in deskline-tx, 2400 ms.
+	clockStepSize = 2400 * time.Millisecond
+	// heartbeatSent is more than the time that a backend takes to send a heartbeat.
+	heartbeatSent = 200 * time.Millisecond
+	// restartDelay is the time from the end of a stopped process to its next start.
+	restartDelay = 300 * time.Millisecond
+)
+
+// startAll starts a backend beside each sidecar but the one that is left out, and waits until the
+// balancers are ready.
+func (s *site) startAll(ctx context.Context, leftOut int) error {
+	for i := range s.sidecars {
+		if err := s.awaitSidecar(ctx, i); err != nil {
+			return err
+		}
+		if i == leftOut {
+			continue
+		}
+		if err := s.startBackend(i, fmt.Sprintf("i-%d", i), time.Now()); err != nil {
+			return err
+		}
+	}
+	return s.awaitReady(ctx)
+}
+
+// foreignHeartbeat sends one heartbeat of another writer to a sidecar. It lacks the field that the
+// environment variable FIELD names, which is address by default.
+func foreignHeartbeat(ctx context.Context, s *site, trouble bool) (int, error) {
+	if err := s.startAll(ctx, -1); err != nil {
+		return 0, err
+	}
+	flows, err := s.openAt(ctx, target, flowCount, 20*time.Second)
+	if err != nil {
+		return 0, err
+	}
+	sleep(ctx, stableWindow)
+	if trouble {
+		field := cmp.Or(os.Getenv("FIELD"), "address")
+		body := map[string]any{
+			"service": serviceName, "address": s.sidecarAddr(target, appPort).String(), "zone": zoneName, "version": "v1",
+			"slots": 2, "state": "ready", "cold_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+		}
+		delete(body, field)
+		status, err := put(ctx, http.DefaultClient, s.sidecarAddr(target, controlPort), "i-other", body)
+		s.record.write("heartbeat of another writer, without %s: %s", field, outcome(status, err))
+	}
+	sleep(ctx, time.Second)
+	broken := s.checkFlows(ctx, target, flows)
+	sleep(ctx, 2*beatInterval) // records how later heartbeats of the living backend are received
+	return broken, nil
+}
+
+// clockStep restarts a sidecar as planned, soon after its backend's start, between which two the time
+// of day has jumped back.
+func clockStep(ctx context.Context, s *site, trouble bool) (int, error) {
+	if err := s.startAll(ctx, target); err != nil {
+		return 0, err
+	}
+	born := time.Now()
+	if trouble {
+		born = born.Add(clockStepSize)
+		s.record.write("the time of day of machine %d is %v ahead", target, clockStepSize)
+	}
+	started := time.Now()
+	if err := s.startBackend(target, "i-new", born); err != nil {
+		return 0, err
+	}
+	flows, err := s.openAt(ctx, target, flowCount, 700*time.Millisecond)
+	if err != nil {
+		return 0, err
+	}
+	s.record.write("the time of day of machine %d is right again; flows are open %v after the backend's start", target, time.Since(started))
+	s.stopSidecar(target)
+	sleep(ctx, restartDelay)
+	if err := s.startSidecar(target); err != nil {
+		return 0, err
+	}
+	sleep(ctx, stableWindow+2*beatInterval)
+	return s.checkFlows(ctx, target, flows), nil
+}
+
+// lateHeartbeat restarts a sidecar as planned. A heartbeat of the backend before the present one, held
+// up by a partition, arrives soon after the restart.
+func lateHeartbeat(ctx context.Context, s *site, trouble bool) (int, error) {
+	if err := s.startProxy(); err != nil {
+		return 0, err
+	}
+	if err := s.startAll(ctx, -1); err != nil {
+		return 0, err
+	}
+	s.proxy.hold(true)
+	heldUp, err := s.proxy.awaitHeld(ctx)
+	if err != nil {
+		return 0, err
+	}
+	s.proxy.hold(false)
+	since := time.Now()
+	former := s.backends[target]
+	s.record.write("heartbeat %d of backend %s is held up by a partition", former.lastSequence(), former.id)
+	sleep(ctx, heartbeatSent)
+	former.crash()
+	if err := s.startBackend(target, "i-new", time.Now()); err != nil {
+		return 0, err
+	}
+	flows, err := s.openAt(ctx, target, flowCount, 2*time.Second)
+	if err != nil {
+		return 0, err
+	}
+	s.stopSidecar(target)
+	sleep(ctx, restartDelay)
+	if err := s.startSidecar(target); err != nil {
+		return 0, err
+	}
+	if trouble {
+		err := s.proxy.deliver(ctx, heldUp)
+		s.record.write("the heartbeat of backend %s arrives, %v after it was sent (%v)", former.id, time.Since(since), err)
+	} else {
+		heldUp.Close()
+	}
+	sleep(ctx, stableWindow+2*beatInterval)
+	return s.checkFlows(ctx, target, flows), nil
+}
--- /dev/null
+++ b/review/rig/main.go
@@ -0,0 +1,108 @@
+// Command rig runs those cases of the review that cannot be put as a day of the bench. It starts the
+// project's programs as processes between stand-ins, all on loopback addresses.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Exit codes.
+const (
+	exitHeld    = 0
+	exitBroken  = 1
+	exitNotRun  = 2
+	caseTimeout = 110 * time.Second
+)
+
+// cases holds the cases by name. A case returns the number of times that the rule was broken.
+var cases = map[string]func(ctx context.Context, s *site, trouble bool) (int, error){
+	"foreign-heartbeat": foreignHeartbeat,
+	"clock-step":        clockStep,
+	"late-heartbeat":    lateHeartbeat,
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run runs the case that the first argument names and records it in the folder that the second names.
+func run(args []string) int {
+	if len(args) != 2 || cases[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
+		return exitNotRun
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	r, err := newRecord(filepath.Join(args[1], "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rig:", err)
+		return exitNotRun
+	}
+	defer r.file.Close()
+	r.write("case %s, trouble %v", args[0], trouble)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, caseTimeout)
+	defer cancel()
+	broken, err := runCase(ctx, r, cases[args[0]], trouble)
+	switch {
+	case err != nil:
+		r.write("the case could not run: %v", err)
+		return exitNotRun
+	case broken > 0:
+		r.write("the rule was broken %d times", broken)
+		return exitBroken
+	}
+	r.write("the rule held")
+	return exitHeld
+}
+
+// runCase runs a case on a new site.
+func runCase(ctx context.Context, r *record, c func(context.Context, *site, bool) (int, error), trouble bool) (int, error) {
+	s, err := newSite(r)
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		return 0, err
+	}
+	broken, err := c(ctx, s, trouble)
+	if err == nil {
+		err = ctx.Err() // an interrupted case has shown nothing
+	}
+	if dir := os.Getenv("KEEP_LOGS"); dir != "" {
+		_ = os.CopyFS(dir, os.DirFS(s.dir))
+	}
+	return broken, err
+}
+
+// record is the file that lists what was sent, answered and run. It is safe for concurrent use.
+type record struct {
+	mu    sync.Mutex
+	file  *os.File
+	start time.Time
+}
+
+func newRecord(name string) (*record, error) {
+	f, err := os.Create(name)
+	return &record{file: f, start: time.Now()}, err
+}
+
+// write adds a line with the time since the start.
+func (r *record) write(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
