--- a/review/2/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/greengagedyke ] && [ -x target/review-rig ] || exit 2
-exec target/review-rig late-heartbeat review/2
+exec target/review-rig late-heartbeat review/4
--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -31,6 +31,7 @@
 // heartbeats with all fields of the pages. It never sends a reset.
 type backend struct {
 	record   *record
+	service  string
 	id       string
 	born     time.Time
 	addr     netip.AddrPort
@@ -58,7 +59,7 @@
 }
 
 // startBackend starts a backend at addr. It sends its packets to outbound and its heartbeats to control.
-func startBackend(r *record, id string, born time.Time, addr, outbound, control netip.AddrPort) (*backend, error) {
+func startBackend(r *record, service, id string, born time.Time, addr, outbound, control netip.AddrPort) (*backend, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, errors.Wrap(err, "startBackend")
@@ -70,7 +71,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &backend{
-		record: r, id: id, born: born, addr: addr, outbound: outbound, control: control, conn: conn, cancel: cancel,
+		record: r, service: service, id: id, born: born, addr: addr, outbound: outbound, control: control, conn: conn, cancel: cancel,
 		client: &http.Client{Timeout: beatTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		flows:  map[flow.Key]*backendFlow{}, runs: map[string]int{},
 	}
@@ -78,7 +79,7 @@
 	b.done.Go(func() { _ = b.health.Serve(ln) })
 	b.done.Go(b.read)
 	b.done.Go(func() { b.beat(ctx) })
-	r.write("backend %s starts at %s, born %d", id, addr, born.UnixMilli())
+	r.write("backend %s of %s starts at %s, born %d", id, service, addr, born.UnixMilli())
 	return b, nil
 }
 
@@ -115,7 +116,7 @@
 	defer b.mu.Unlock()
 	b.sequence++
 	return map[string]any{
-		"service": serviceName, "address": b.addr.String(), "zone": zoneName, "version": "v1", "slots": 2, "state": "ready",
+		"service": b.service, "address": b.addr.String(), "zone": zoneName, "version": "v1", "slots": 2, "state": "ready",
 		"cold_left_ms": 0, "sequence": b.sequence, "born": b.born.UnixMilli(),
 	}
 }
@@ -203,9 +204,9 @@
 	if p.Sequence == f.next {
 		f.next += uint32(p.Length)
 		b.runs[id]++
-		b.record.write("backend %s runs %s", b.id, id)
+		b.record.write("backend %s of %s runs %s", b.id, b.service, id)
 	}
-	b.send(&flow.Packet{Key: p.Key, Flags: flow.FlagAck, Sequence: p.Ack, Ack: p.Sequence + uint32(p.Length)}, []byte("200 "+id))
+	b.send(&flow.Packet{Key: p.Key, Flags: flow.FlagAck, Sequence: p.Ack, Ack: p.Sequence + uint32(p.Length)}, []byte("200 "+id+" by "+b.service))
 }
 
 func (b *backend) send(p *flow.Packet, data []byte) {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -23,9 +23,11 @@
 
 // cases holds the cases by name. A case returns the number of times that the rule was broken.
 var cases = map[string]func(ctx context.Context, s *site, trouble bool) (int, error){
-	"foreign-heartbeat": foreignHeartbeat,
-	"clock-step":        clockStep,
-	"late-heartbeat":    lateHeartbeat,
+	"foreign-heartbeat":  foreignHeartbeat,
+	"clock-step":         clockStep,
+	"late-heartbeat":     lateHeartbeat,
+	"port-used-again":    portUsedAgain,
+	"address-used-again": addressUsedAgain,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/rig/process.go
+++ b/review/rig/process.go
@@ -23,23 +23,33 @@
 	done chan struct{}
 }
 
-// startProcess starts target/greengagedyke with a role. It writes the settings to a file in dir, and
-// the process's output to another one.
-func startProcess(dir, name, role string, settings map[string]any) (*process, error) {
+func settingsFile(dir, name string) string { return filepath.Join(dir, name+".json") }
+
+// writeSettings writes the settings file of a process, in place of the former one.
+func writeSettings(dir, name string, settings map[string]any) error {
 	data, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
-		return nil, errors.Wrap(err, "startProcess")
+		return errors.Wrap(err, "writeSettings")
 	}
-	file := filepath.Join(dir, name+".json")
-	if err := os.WriteFile(file, data, 0o600); err != nil {
-		return nil, errors.Wrap(err, "startProcess")
+	file := settingsFile(dir, name)
+	if err := os.WriteFile(file+".new", data, 0o600); err != nil {
+		return errors.Wrap(err, "writeSettings")
+	}
+	return errors.Wrap(os.Rename(file+".new", file), "writeSettings")
+}
+
+// startProcess starts target/greengagedyke with a role. It writes the settings to a file in dir, and
+// the process's output to another one.
+func startProcess(dir, name, role string, settings map[string]any) (*process, error) {
+	if err := writeSettings(dir, name, settings); err != nil {
+		return nil, err
 	}
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, errors.Wrap(err, "startProcess")
 	}
 	cmd := exec.Command("target/greengagedyke", role, "--flows")
-	cmd.Env = append(os.Environ(), "GREENGAGEDYKE_SETTINGS="+file)
+	cmd.Env = append(os.Environ(), "GREENGAGEDYKE_SETTINGS="+settingsFile(dir, name))
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -30,8 +30,9 @@
 	tunnelPort   = 7720
 	storePort    = 9000
 
-	serviceName = "rota-core"
-	zoneName    = "tx-central-a"
+	serviceName      = "rota-core"
+	otherServiceName = "sheet-render"
+	zoneName         = "tx-central-a"
 
 	balancerCount = 2
 	sidecarCount  = 3
@@ -47,14 +48,19 @@
 
 // site is a small deployment: the project's balancers and sidecars as processes, between stand-ins.
 type site struct {
-	record    *record
-	dir       string
-	block     block.AddressBlock
-	store     *store.Store
-	callers   *flowtest.Callers
-	balancers [balancerCount]*process
-	sidecars  [sidecarCount]*process
-	backends  [sidecarCount]*backend
+	record  *record
+	dir     string
+	block   block.AddressBlock
+	store   *store.Store
+	router  *flowtest.Router
+	callers *flowtest.Callers
+	// stopCallers ends the callers.
+	stopCallers func()
+	balancers   [balancerCount]*process
+	sidecars    [sidecarCount]*process
+	backends    [sidecarCount]*backend
+	// services are the services of the backends beside the sidecars.
+	services [sidecarCount]string
 	// proxy is between the first sidecar and its backend's heartbeats; nil if there is none.
 	proxy *proxy
 	// closers end the stand-ins, in reverse order.
@@ -67,7 +73,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "newSite")
 	}
-	s := &site{record: r, dir: dir, closers: []func(){func() { os.RemoveAll(dir) }}}
+	s := &site{
+		record: r, dir: dir, services: [sidecarCount]string{serviceName, serviceName, otherServiceName},
+		stopCallers: func() {}, closers: []func(){func() { os.RemoveAll(dir) }},
+	}
 	var release, stop func()
 	if s.block, release, err = block.Reserve(); err != nil {
 		return s, err
@@ -77,8 +86,7 @@
 		return s, err
 	}
 	s.closers = append(s.closers, stop)
-	route := platform.EncodeOperatorConfiguration(1, platform.ServiceRoute{Addr: serviceAddr, Service: serviceName})
-	if _, _, err = s.store.Write(platform.Transaction{Puts: []platform.Put{route}}); err != nil {
+	if err := s.configure(1, platform.ServiceRoute{Addr: serviceAddr, Service: serviceName}); err != nil {
 		return s, err
 	}
 	for i := range s.balancers {
@@ -119,20 +127,36 @@
 	return nil
 }
 
+// configure writes a configuration as the operator does.
+func (s *site) configure(version int, routes ...platform.ServiceRoute) error {
+	_, _, err := s.store.Write(platform.Transaction{Puts: []platform.Put{platform.EncodeOperatorConfiguration(version, routes...)}})
+	for _, r := range routes {
+		s.record.write("configuration %d: %s to %s", version, r.Addr, r.Service)
+	}
+	return err
+}
+
 // startCallers starts the router and the callers.
 func (s *site) startCallers() error {
 	var targets []flowtest.RouterTarget
 	for i := range s.balancers {
 		targets = append(targets, flowtest.RouterTarget{Packets: s.balancerAddr(i, packetsPort), Ready: s.balancerAddr(i, readyPort)})
 	}
-	router, stopRouter := flowtest.StartRouter(targets)
-	s.closers = append(s.closers, stopRouter)
-	callers, stop, err := flowtest.StartCallers(s.block.Addr(callerSubnet, 1, packetsPort), router)
+	var stopRouter func()
+	s.router, stopRouter = flowtest.StartRouter(targets)
+	s.closers = append(s.closers, stopRouter, func() { s.stopCallers() })
+	return s.restartCallers()
+}
+
+// restartCallers starts the callers, after ending those before. They use the same ports, from the
+// first one on.
+func (s *site) restartCallers() error {
+	s.stopCallers()
+	callers, stop, err := flowtest.StartCallers(s.block.Addr(callerSubnet, 1, packetsPort), s.router)
 	if err != nil {
 		return err
 	}
-	s.callers = callers
-	s.closers = append(s.closers, stop)
+	s.callers, s.stopCallers = callers, stop
 	return nil
 }
 
@@ -169,23 +193,37 @@
 	return nil
 }
 
-// startSidecar starts a sidecar with the settings of deploy/sidecar.json.
+// startSidecar starts a sidecar.
 func (s *site) startSidecar(i int) error {
-	name := fmt.Sprintf("side-%s-%d", zoneName, i+1)
-	p, err := startProcess(s.dir, name, "sidecar", map[string]any{
-		"identity": name, "failure-domain": zoneName, "service": serviceName,
+	name := s.sidecarName(i)
+	p, err := startProcess(s.dir, name, "sidecar", s.sidecarSettings(i))
+	if err != nil {
+		return err
+	}
+	s.sidecars[i] = p
+	s.record.write("%s starts, beside a backend of %s", name, s.services[i])
+	return nil
+}
+
+func (s *site) sidecarName(i int) string { return fmt.Sprintf("side-%s-%d", zoneName, i+1) }
+
+// sidecarSettings returns the settings of deploy/sidecar.json for a sidecar.
+func (s *site) sidecarSettings(i int) map[string]any {
+	return map[string]any{
+		"identity": s.sidecarName(i), "failure-domain": zoneName, "service": s.services[i],
 		"tunnel-address": s.sidecarAddr(i, packetsPort), "outbound-address": s.sidecarAddr(i, outboundPort),
 		"upstream-address": s.sidecarAddr(i, appPort), "health-address": s.sidecarAddr(i, appPort),
 		"heartbeat-address": s.sidecarAddr(i, controlPort), "ready-address": s.sidecarAddr(i, readyPort),
 		"store-address": s.block.Addr(0, 2, storePort), "peers": s.seeds(), "balancer-port": tunnelPort,
 		"heartbeat-patience": "2s", "flow-limit": "60s",
-	})
-	if err != nil {
-		return err
 	}
-	s.sidecars[i] = p
-	s.record.write("%s starts", name)
-	return nil
+}
+
+// changeService changes the service in a sidecar's settings file, as the platform does.
+func (s *site) changeService(i int, service string) error {
+	s.services[i] = service
+	s.record.write("the settings of %s name %s now", s.sidecarName(i), service)
+	return writeSettings(s.dir, s.sidecarName(i), s.sidecarSettings(i))
 }
 
 // stopSidecar stops a sidecar as planned: SIGTERM, and SIGKILL after the grace.
@@ -202,7 +240,7 @@
 	if i == target && s.proxy != nil {
 		control = s.block.Addr(proxySubnet, 1, controlPort)
 	}
-	b, err := startBackend(s.record, id, born, s.sidecarAddr(i, appPort), s.sidecarAddr(i, outboundPort), control)
+	b, err := startBackend(s.record, s.services[i], id, born, s.sidecarAddr(i, appPort), s.sidecarAddr(i, outboundPort), control)
 	if err != nil {
 		return err
 	}
