--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -20,7 +20,7 @@
 	// heartbeatSent is more than the time that a backend takes to send a heartbeat.
 	heartbeatSent = 200 * time.Millisecond
 	// restartDelay is the time from the end of a stopped process to its next start.
-	restartDelay = 300 * time.Millisecond
+	restartDelay = 100 * time.Millisecond
 )
 
 // startAll starts a backend beside each sidecar but the one that is left out, and waits until the
