--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -41,7 +41,7 @@
 }
 
 // foreignHeartbeat sends one heartbeat of another writer to a sidecar. It lacks the field that the
-// environment variable FIELD names, which is address by default.
+// environment variable FIELD names, which is address by default; with NUMBER, that field is a number.
 func foreignHeartbeat(ctx context.Context, s *site, trouble bool) (int, error) {
 	if err := s.startAll(ctx, -1); err != nil {
 		return 0, err
@@ -57,9 +57,11 @@
 			"service": serviceName, "address": s.sidecarAddr(target, appPort).String(), "zone": zoneName, "version": "v1",
 			"slots": 2, "state": "ready", "cold_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
 		}
-		delete(body, field)
+		if delete(body, field); os.Getenv("NUMBER") != "" {
+			body[field] = 7 // of another type than the page's, unless the field is a number there
+		}
 		status, err := put(ctx, http.DefaultClient, s.sidecarAddr(target, controlPort), "i-other", body)
-		s.record.write("heartbeat of another writer, without %s: %s", field, outcome(status, err))
+		s.record.write("heartbeat of another writer, %s is %v: %s", field, body[field], outcome(status, err))
 	}
 	sleep(ctx, time.Second)
 	broken := s.checkFlows(ctx, target, flows)
