--- a/review/rig/ports.go
+++ b/review/rig/ports.go
@@ -15,6 +15,8 @@
 const (
 	// portCount is the number of ports from which callers open flows, one after the other.
 	portCount = 10
+	// roundCount is how often the callers come back after a change, each time after afterChange.
+	roundCount = 3
 	// afterChange is how long after the acknowledgement of a configuration the requests are sent. It
 	// is above config_apply_ms, 3000, and stable_window_ms, 4000.
 	afterChange = 6 * time.Second
@@ -50,11 +52,14 @@
 		}
 		s.record.write("the store has acknowledged the configuration, without a route for %s", droppedAddr)
 	}
-	sleep(ctx, afterChange)
-	if err := s.restartCallers(); err != nil {
-		return 0, err
+	broken := 0
+	for round := range roundCount {
+		sleep(ctx, afterChange)
+		if err := s.restartCallers(); err != nil {
+			return 0, err
+		}
+		broken += s.requestFromEachPort(ctx, fmt.Sprintf("after-%d", round), addrs, allowed)
 	}
-	broken := s.requestFromEachPort(ctx, "after", addrs, allowed)
 	s.record.write("from ports that were not used before:")
 	return broken + s.requestFromEachPort(ctx, "new", addrs, allowed), nil
 }
