--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -42,7 +43,7 @@
 
 // foreignHeartbeat sends one heartbeat of another writer to a sidecar. It lacks the field that the
 // environment variable FIELD names, which is address by default; with NUMBER, that field is a number.
-func foreignHeartbeat(ctx context.Context, s *site, trouble bool) (int, error) {
+func foreignHeartbeat(ctx context.Context, s *site, t trouble) (int, error) {
 	if err := s.startAll(ctx, -1); err != nil {
 		return 0, err
 	}
@@ -51,7 +52,7 @@
 		return 0, err
 	}
 	sleep(ctx, stableWindow)
-	if trouble {
+	if t == troubleAll {
 		field := cmp.Or(os.Getenv("FIELD"), "address")
 		body := map[string]any{
 			"service": serviceName, "address": s.sidecarAddr(target, appPort).String(), "zone": zoneName, "version": "v1",
@@ -71,12 +72,12 @@
 
 // clockStep restarts a sidecar as planned, soon after its backend's start, between which two the time
 // of day has jumped back.
-func clockStep(ctx context.Context, s *site, trouble bool) (int, error) {
+func clockStep(ctx context.Context, s *site, t trouble) (int, error) {
 	if err := s.startAll(ctx, target); err != nil {
 		return 0, err
 	}
 	born := time.Now()
-	if trouble {
+	if t == troubleAll {
 		born = born.Add(clockStepSize)
 		s.record.write("the time of day of machine %d is %v ahead", target, clockStepSize)
 	}
@@ -88,54 +89,71 @@
 	if err != nil {
 		return 0, err
 	}
-	s.record.write("the time of day of machine %d is right again; flows are open %v after the backend's start", target, time.Since(started))
-	s.stopSidecar(target)
-	sleep(ctx, restartDelay)
-	if err := s.startSidecar(target); err != nil {
+	s.record.write("flows are open %v after the backend's start; the time of day is right", time.Since(started))
+	if err := s.restartSidecar(ctx, t); err != nil {
 		return 0, err
 	}
 	sleep(ctx, stableWindow+2*beatInterval)
 	return s.checkFlows(ctx, target, flows), nil
 }
 
+// restartSidecar restarts the target's sidecar as planned, unless there are to be no disruptions.
+func (s *site) restartSidecar(ctx context.Context, t trouble) error {
+	if t == troubleNone {
+		return nil
+	}
+	s.stopSidecar(target)
+	sleep(ctx, restartDelay)
+	return s.startSidecar(target)
+}
+
 // lateHeartbeat restarts a sidecar as planned. A heartbeat of the backend before the present one, held
 // up by a partition, arrives soon after the restart.
-func lateHeartbeat(ctx context.Context, s *site, trouble bool) (int, error) {
+func lateHeartbeat(ctx context.Context, s *site, t trouble) (int, error) {
 	if err := s.startProxy(); err != nil {
 		return 0, err
 	}
 	if err := s.startAll(ctx, -1); err != nil {
 		return 0, err
 	}
-	s.proxy.hold(true)
-	heldUp, err := s.proxy.awaitHeld(ctx)
+	heldUp, since, err := s.replaceBackend(ctx, t)
 	if err != nil {
 		return 0, err
 	}
-	s.proxy.hold(false)
-	since := time.Now()
-	former := s.backends[target]
-	s.record.write("heartbeat %d of backend %s is held up by a partition", former.lastSequence(), former.id)
-	sleep(ctx, heartbeatSent)
-	former.crash()
-	if err := s.startBackend(target, "i-new", time.Now()); err != nil {
-		return 0, err
-	}
 	flows, err := s.openAt(ctx, target, flowCount, 2*time.Second)
 	if err != nil {
 		return 0, err
 	}
-	s.stopSidecar(target)
-	sleep(ctx, restartDelay)
-	if err := s.startSidecar(target); err != nil {
+	if err := s.restartSidecar(ctx, t); err != nil {
 		return 0, err
 	}
-	if trouble {
+	if t == troubleAll {
 		err := s.proxy.deliver(ctx, heldUp)
-		s.record.write("the heartbeat of backend %s arrives, %v after it was sent (%v)", former.id, time.Since(since), err)
-	} else {
-		heldUp.Close()
+		s.record.write("the heartbeat that was held up arrives, %v after it was sent (%v)", time.Since(since), err)
 	}
 	sleep(ctx, stableWindow+2*beatInterval)
 	return s.checkFlows(ctx, target, flows), nil
 }
+
+// replaceBackend holds up a heartbeat of the target's backend, which then crashes and starts again. It
+// returns the connection of that heartbeat, and when it was sent.
+func (s *site) replaceBackend(ctx context.Context, t trouble) (net.Conn, time.Time, error) {
+	if t == troubleNone {
+		return nil, time.Time{}, nil
+	}
+	s.proxy.hold(true)
+	heldUp, err := s.proxy.awaitHeld(ctx)
+	if err != nil {
+		return nil, time.Time{}, err
+	}
+	s.proxy.hold(false)
+	since := time.Now()
+	former := s.backends[target]
+	s.record.write("heartbeat %d of backend %s is held up by a partition", former.lastSequence(), former.id)
+	sleep(ctx, heartbeatSent)
+	former.crash()
+	if t != troubleAll {
+		heldUp.Close() // lost
+	}
+	return heldUp, since, s.startBackend(target, "i-new", time.Now())
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,12 +22,35 @@
 )
 
 // cases holds the cases by name. A case returns the number of times that the rule was broken.
-var cases = map[string]func(ctx context.Context, s *site, trouble bool) (int, error){
-	"foreign-heartbeat":  foreignHeartbeat,
-	"clock-step":         clockStep,
-	"late-heartbeat":     lateHeartbeat,
-	"port-used-again":    portUsedAgain,
-	"address-used-again": addressUsedAgain,
+var cases = map[string]func(ctx context.Context, s *site, t trouble) (int, error){
+	"foreign-heartbeat": foreignHeartbeat,
+	"clock-step":        clockStep,
+	"late-heartbeat":    lateHeartbeat,
+	"port-used-again":   portUsedAgain,
+}
+
+// trouble says which disruptions a case has.
+type trouble uint8
+
+const (
+	// troubleAll is the case itself.
+	troubleAll trouble = iota
+	// troublePlanned leaves out the disruption that the case is about, and keeps the planned restart (and in
+	// lateHeartbeat the crash) beside it. It is the same as troubleNone in cases without one.
+	troublePlanned
+	// troubleNone leaves out all disruptions.
+	troubleNone
+)
+
+// troubleOf returns the meaning of the environment variable TROUBLE: 0, planned, or anything else.
+func troubleOf(value string) trouble {
+	switch value {
+	case "0":
+		return troubleNone
+	case "planned":
+		return troublePlanned
+	}
+	return troubleAll
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -38,19 +61,19 @@
 		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
 		return exitNotRun
 	}
-	trouble := os.Getenv("TROUBLE") != "0"
+	t := troubleOf(os.Getenv("TROUBLE"))
 	r, err := newRecord(filepath.Join(args[1], "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "rig:", err)
 		return exitNotRun
 	}
 	defer r.file.Close()
-	r.write("case %s, trouble %v", args[0], trouble)
+	r.write("case %s, TROUBLE=%q", args[0], os.Getenv("TROUBLE"))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, caseTimeout)
 	defer cancel()
-	broken, err := runCase(ctx, r, cases[args[0]], trouble)
+	broken, err := runCase(ctx, r, cases[args[0]], t)
 	switch {
 	case err != nil:
 		r.write("the case could not run: %v", err)
@@ -64,7 +87,7 @@
 }
 
 // runCase runs a case on a new site.
-func runCase(ctx context.Context, r *record, c func(context.Context, *site, bool) (int, error), trouble bool) (int, error) {
+func runCase(ctx context.Context, r *record, c func(context.Context, *site, trouble) (int, error), t trouble) (int, error) {
 	s, err := newSite(r)
 	if s != nil {
 		defer s.close()
@@ -72,7 +95,7 @@
 	if err != nil {
 		return 0, err
 	}
-	broken, err := c(ctx, s, trouble)
+	broken, err := c(ctx, s, t)
 	if err == nil {
 		err = ctx.Err() // an interrupted case has shown nothing
 	}
--- a/review/rig/ports.go
+++ b/review/rig/ports.go
@@ -20,8 +20,6 @@
 	// afterChange is how long after the acknowledgement of a configuration the requests are sent. It
 	// is above config_apply_ms, 3000, and stable_window_ms, 4000.
 	afterChange = 6 * time.Second
-	// reuseAfter is more than reuse_after_s, 2, after which an address may go to another service.
-	reuseAfter = 2500 * time.Millisecond
 )
 
 var (
@@ -32,7 +30,7 @@
 
 // portUsedAgain changes the configuration. Later, callers open new flows from ports that they used
 // before; the flows from those ports were closed before the change.
-func portUsedAgain(ctx context.Context, s *site, trouble bool) (int, error) {
+func portUsedAgain(ctx context.Context, s *site, t trouble) (int, error) {
 	if err := s.configure(2, route(serviceAddr, serviceName), route(movedAddr, serviceName), route(droppedAddr, serviceName)); err != nil {
 		return 0, err
 	}
@@ -45,7 +43,7 @@
 	if n := s.requestFromEachPort(ctx, "before", addrs, allowed); n != 0 {
 		return 0, errors.New("a request was run by the wrong service before the change")
 	}
-	if trouble {
+	if t == troubleAll {
 		allowed = map[netip.AddrPort]string{movedAddr: otherServiceName}
 		if err := s.configure(3, route(serviceAddr, serviceName), route(movedAddr, otherServiceName)); err != nil {
 			return 0, err
@@ -64,37 +62,6 @@
 	return broken + s.requestFromEachPort(ctx, "new", addrs, allowed), nil
 }
 
-// addressUsedAgain replaces a backend by one of another service at the same address. Later, callers open
-// new flows from ports that they used before; the flows from those ports were closed before that.
-func addressUsedAgain(ctx context.Context, s *site, trouble bool) (int, error) {
-	if err := s.startAll(ctx, -1); err != nil {
-		return 0, err
-	}
-	sleep(ctx, stableWindow)
-	allowed := map[netip.AddrPort]string{serviceAddr: serviceName}
-	addrs := []netip.AddrPort{serviceAddr}
-	if n := s.requestFromEachPort(ctx, "before", addrs, allowed); n != 0 {
-		return 0, errors.New("a request was run by the wrong service before the change")
-	}
-	if trouble {
-		s.backends[target].crash()
-		sleep(ctx, reuseAfter)
-		if err := s.changeService(target, otherServiceName); err != nil {
-			return 0, err
-		}
-		if err := s.startBackend(target, "i-other", time.Now()); err != nil {
-			return 0, err
-		}
-	}
-	sleep(ctx, afterChange)
-	if err := s.restartCallers(); err != nil {
-		return 0, err
-	}
-	broken := s.requestFromEachPort(ctx, "after", addrs, allowed)
-	s.record.write("from ports that were not used before:")
-	return broken + s.requestFromEachPort(ctx, "new", addrs, allowed), nil
-}
-
 func route(addr netip.AddrPort, service string) platform.ServiceRoute {
 	return platform.ServiceRoute{Addr: addr, Service: service}
 }
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"time"
@@ -22,20 +24,12 @@
 	callerSubnet
 	proxySubnet
 
-	packetsPort  = 8172
-	readyPort    = 8167
-	controlPort  = 8166
-	outboundPort = 8162
-	appPort      = 8165
-	tunnelPort   = 7720
-	storePort    = 9000
-
 	serviceName      = "rota-core"
 	otherServiceName = "sheet-render"
 	zoneName         = "tx-central-a"
 
-	balancerCount = 2
-	sidecarCount  = 3
+	balancerCount = 5
+	sidecarCount  = 10
 
 	// readyTimeout is how long the site may take until its balancers are ready.
 	readyTimeout = 15 * time.Second
@@ -43,6 +37,22 @@
 	requestTimeout = 1200 * time.Millisecond
 )
 
+// The ports are the same on all machines, and free when the site starts.
+var packetsPort, readyPort, controlPort, outboundPort, appPort, tunnelPort, metricsPort, storePort uint16
+
+// pickPorts sets the ports to free ones of the block.
+func pickPorts(b block.AddressBlock) error {
+	for _, p := range []*uint16{&packetsPort, &readyPort, &controlPort, &outboundPort, &appPort, &tunnelPort, &metricsPort, &storePort} {
+		ln, err := net.Listen("tcp4", b.Addr(0, 3, 0).String())
+		if err != nil {
+			return errors.Wrap(err, "pickPorts")
+		}
+		defer ln.Close() // after all are picked, so that they differ
+		*p = ln.Addr().(*net.TCPAddr).AddrPort().Port()
+	}
+	return nil
+}
+
 // serviceAddr is the address to which callers open flows.
 var serviceAddr = netip.MustParseAddrPort("198.18.0.1:443")
 
@@ -74,14 +84,20 @@
 		return nil, errors.Wrap(err, "newSite")
 	}
 	s := &site{
-		record: r, dir: dir, services: [sidecarCount]string{serviceName, serviceName, otherServiceName},
+		record: r, dir: dir, services: [sidecarCount]string{7: otherServiceName, 8: otherServiceName, 9: otherServiceName},
 		stopCallers: func() {}, closers: []func(){func() { os.RemoveAll(dir) }},
 	}
+	for i := range 7 {
+		s.services[i] = serviceName
+	}
 	var release, stop func()
 	if s.block, release, err = block.Reserve(); err != nil {
 		return s, err
 	}
 	s.closers = append(s.closers, release)
+	if err := pickPorts(s.block); err != nil {
+		return s, err
+	}
 	if s.store, _, stop, err = store.Start(s.block.Addr(0, 2, storePort)); err != nil {
 		return s, err
 	}
@@ -127,11 +143,27 @@
 	return nil
 }
 
-// configure writes a configuration as the operator does.
+// idleTimeout is that of the example of the pages, in milliseconds. Flows that are idle for longer do not
+// count; no flow of a case is.
+const idleTimeout = 15000
+
+// configure writes a configuration as the operator does, with the limits of the example of the pages.
 func (s *site) configure(version int, routes ...platform.ServiceRoute) error {
-	_, _, err := s.store.Write(platform.Transaction{Puts: []platform.Put{platform.EncodeOperatorConfiguration(version, routes...)}})
+	encoded := platform.EncodeOperatorConfiguration(version, routes...)
+	var configuration map[string]any
+	if err := json.Unmarshal(encoded.Data, &configuration); err != nil {
+		return errors.Wrap(err, "site.configure")
+	}
+	configuration["limits"] = map[string]int{
+		"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": idleTimeout,
+	}
+	var err error
+	if encoded.Data, err = json.Marshal(configuration); err != nil {
+		return errors.Wrap(err, "site.configure")
+	}
+	_, _, err = s.store.Write(platform.Transaction{Puts: []platform.Put{encoded}})
 	for _, r := range routes {
-		s.record.write("configuration %d: %s to %s", version, r.Addr, r.Service)
+		s.record.write("configuration %d, acknowledged: %s to %s", version, r.Addr, r.Service)
 	}
 	return err
 }
@@ -171,7 +203,7 @@
 // seeds returns the control addresses of the balancers' machines.
 func (s *site) seeds() []string {
 	var list []string
-	for i := range s.balancers {
+	for i := range 3 { // the pages name at most three
 		list = append(list, s.balancerAddr(i, controlPort).String())
 	}
 	return list
@@ -184,6 +216,7 @@
 		"identity": name, "failure-domain": zoneName,
 		"packets-address": s.balancerAddr(i, packetsPort), "tunnel-address": s.balancerAddr(i, tunnelPort),
 		"ready-address": s.balancerAddr(i, readyPort), "store-address": s.block.Addr(0, 2, storePort), "peers": s.seeds(),
+		"metrics-address": s.balancerAddr(i, metricsPort),
 	})
 	if err != nil {
 		return err
@@ -215,17 +248,10 @@
 		"upstream-address": s.sidecarAddr(i, appPort), "health-address": s.sidecarAddr(i, appPort),
 		"heartbeat-address": s.sidecarAddr(i, controlPort), "ready-address": s.sidecarAddr(i, readyPort),
 		"store-address": s.block.Addr(0, 2, storePort), "peers": s.seeds(), "balancer-port": tunnelPort,
-		"heartbeat-patience": "2s", "flow-limit": "60s",
+		"heartbeat-patience": "2s", "flow-limit": "60s", "metrics-address": s.sidecarAddr(i, metricsPort),
 	}
 }
 
-// changeService changes the service in a sidecar's settings file, as the platform does.
-func (s *site) changeService(i int, service string) error {
-	s.services[i] = service
-	s.record.write("the settings of %s name %s now", s.sidecarName(i), service)
-	return writeSettings(s.dir, s.sidecarName(i), s.sidecarSettings(i))
-}
-
 // stopSidecar stops a sidecar as planned: SIGTERM, and SIGKILL after the grace.
 func (s *site) stopSidecar(i int) {
 	s.record.write("%s gets SIGTERM", s.sidecars[i].name)
