A heartbeat of another sender no longer ends an upstream's flows

Cause: a sidecar took the later start time in one message for the end of the upstream that ran (flow/sidecar.go, Heartbeat: generation; HeartbeatMonitor: former incarnations by start time). Missing fields only let the message in: a complete one, or a late one of a clock that was ahead, did the same.

Change: a heartbeat ends no flow. One of another incarnation, or a returned packet of a flow that the upstream had answered, makes the sidecar send the newest packet of each open flow to the upstream again; what is returned is not held and is reset. Incarnations are no longer ordered by start times. Missing heartbeats and an announced end are believed only if nothing listens.

--- a/flow/answer.go
+++ b/flow/answer.go
@@ -27,11 +27,11 @@
 		return s.unknownFlowResult(q.Key, now)
 	case !f.answered:
 		return LookupResultNotHeld // the caller has been answered, by another upstream
-	case f.ackMatches(q.Ack) && (f.generation != s.generation || s.upstreamCrashed(now)):
+	case f.ackMatches(q.Ack) && (f.lost || s.upstreamCrashed(now)):
 		return LookupResultEnded
 	case f.ackMatches(q.Ack):
 		return LookupResultHeld
-	case f.generation == s.generation:
+	case !f.lost:
 		return LookupResultUncertain
 	}
 	return LookupResultNotHeld
--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -16,8 +17,8 @@
 	case !ok:
 		return s.handleUnknownFlow(tp, now)
 	case f.answered && tp.Packet.Flags.Has(FlagAck) && !f.ackMatches(tp.Packet.Ack):
-		return notDelivered(tp.Origin, ReasonNotOurs, f.generation != s.generation)
-	case f.generation != s.generation || s.upstreamCrashed(now):
+		return notDelivered(tp.Origin, ReasonNotOurs, f.lost)
+	case f.lost || s.upstreamCrashed(now):
 		return s.handleOrphan(tp, f)
 	}
 	f.policy = tp.Path.Policy
@@ -32,6 +33,7 @@
 		return v
 	}
 	s.trackCallerPacket(f, &tp.Packet, now)
+	f.recordDelivered(tp.Raw)
 	return v
 }
 
@@ -107,6 +109,7 @@
 		s.beginRequest(f, now)
 		for _, p := range req.packets {
 			deliver(p.raw)
+			f.recordDelivered(p.raw)
 		}
 	}
 }
@@ -196,7 +199,7 @@
 		return forwardToSibling(tp, ReasonUpstreamClosed)
 	}
 	f, ok := s.flows[tp.Packet.Key]
-	if ok && f.generation == s.generation {
+	if ok && !f.lost {
 		f.lastUsed = now
 		return SidecarVerdict{Action: ActionUpstream, Reason: ReasonPlacedAgain}
 	}
@@ -208,7 +211,7 @@
 		s.removeFlow(tp.Packet.Key, f)
 	}
 	s.flows[tp.Packet.Key] = &flowState{
-		opening: *tp, offeredAt: now, pending: true, lastUsed: now, generation: s.generation,
+		opening: *tp, offeredAt: now, pending: true, lastUsed: now,
 		retransmissions: tp.Packet.Retransmissions(), policy: tp.Path.Policy,
 	}
 	s.pendingOpenings++
@@ -222,18 +225,18 @@
 }
 
 // upstreamCrashed reports whether the upstream counts as crashed and so holds no flows: it is absent,
-// or it has sent neither a heartbeat nor data for crashedAfter, while this process was running.
-// Heartbeats are not lost on a network, since the upstream runs in the same VM.
+// or for crashedAfter, while this process was running, it has sent neither a heartbeat nor data and no
+// check has found that it listens. Heartbeats are not lost on a network, since the upstream runs in the
+// same VM.
 func (s *Sidecar) upstreamCrashed(now time.Time) bool {
 	if s.absent {
 		return true
 	}
 	lastActive := s.started
-	if s.monitor.receivedAt.After(lastActive) {
-		lastActive = s.monitor.receivedAt
-	}
-	if s.lastServed.After(lastActive) {
-		lastActive = s.lastServed
+	for _, t := range []time.Time{s.monitor.receivedAt, s.lastServed, s.listenedAt} {
+		if t.After(lastActive) {
+			lastActive = t
+		}
 	}
 	return now.Sub(lastActive) > crashedAfter && s.expireCalls >= crashedExpireCalls
 }
@@ -248,11 +251,11 @@
 	case LookupResultUncertain:
 		return notDelivered(tp.Origin, ReasonUnknownFlow, false)
 	}
-	s.probes[tp.Packet.Key] = probe{sentAt: now, origin: tp.Origin}
+	s.probes[tp.Packet.Key] = probe{sentAt: now, origin: tp.Origin, raw: slices.Clone(tp.Raw)}
 	return SidecarVerdict{Action: ActionUpstream, Reason: ReasonProbe}
 }
 
-// handleOrphan returns the decision about a packet of a flow whose upstream was replaced or has
+// handleOrphan returns the decision about a packet of a flow that is lost or whose upstream has
 // crashed. The flow is reset if that upstream had answered it.
 func (s *Sidecar) handleOrphan(tp *TunnelPacket, f *flowState) SidecarVerdict {
 	if !f.answered || !tp.Packet.Flags.Has(FlagAck) {
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -24,9 +24,9 @@
 	// heartbeatMissingAfter is the time without a heartbeat after which the sidecar begins to check
 	// whether the upstream listens.
 	heartbeatMissingAfter = time.Second
-	// endGrace is how long an upstream may go on serving its flows after it stopped listening or
+	// EndGrace is how long an upstream may go on serving its flows after it stopped listening or
 	// announced its end.
-	endGrace = 500 * time.Millisecond
+	EndGrace = 500 * time.Millisecond
 	// crashedExpireCalls is the number of calls of Expire during crashedAfter. With fewer, this
 	// process was paused and may have missed heartbeats.
 	crashedExpireCalls = 3
@@ -137,8 +137,13 @@
 	// orphanReported is set once ForEachOrphan has reported the flow, so that its caller is sent a
 	// reset only once.
 	orphanReported bool
-	// generation is the value of Sidecar.generation for the upstream that holds the flow.
-	generation int
+	// delivered is a copy of the newest packet of the caller that the upstream got. CheckFlows repeats
+	// it. It is nil if there is none.
+	delivered []byte
+	// lastAnswer is when a packet of the upstream last arrived.
+	lastAnswer time.Time
+	// lost is set once the upstream is known not to hold the flow any more.
+	lost bool
 }
 
 // probe is a packet of a flow without a record that was sent to the upstream to find out whether the
@@ -149,6 +154,8 @@
 	origin netip.AddrPort
 	// notHeld is set once an answer has shown that the upstream does not hold the flow.
 	notHeld bool
+	// raw is a copy of the packet, until notHeld is set.
+	raw []byte
 }
 
 // Latency is a kind of duration that a sidecar measures.
@@ -189,21 +196,24 @@
 	// noFlowsBefore is a time before which no flow of the upstream was opened, if knowsAllFlows is
 	// set.
 	noFlowsBefore time.Time
-	// generation is how often the upstream was replaced. A flow with a lower generation was held by
-	// an upstream that no longer runs.
-	generation int
 	// lastServed is when the upstream last sent data or opened a flow.
 	lastServed time.Time
-	// expireCalls is the number of calls of Expire since the upstream's last heartbeat or data.
+	// expireCalls is the number of calls of Expire since the upstream's last heartbeat or data, or since
+	// a check last found that it listens.
 	expireCalls int
-	// absent is set once nothing has listened at the upstream's address for endGrace, until its
+	// absent is set once nothing has listened at the upstream's address for EndGrace, until its
 	// next heartbeat or data.
 	absent bool
+	// listenedAt is when a check last found that the upstream listens.
+	listenedAt time.Time
+	// listenChecks is set once a check has found that the upstream listens, or that it does not.
+	listenChecks bool
 	// endedAt is when the upstream announced its end.
 	endedAt time.Time
 	// notListeningSince is when a check first found nothing listening at the upstream's address,
 	// with no heartbeat or data since; otherwise zero.
 	notListeningSince time.Time
+	check             flowCheck
 	// readyAt is the earliest time at which the upstream gets new flows.
 	readyAt time.Time
 	// flows holds the flows of the upstream and of the upstreams before it, until they expire.
@@ -246,57 +256,36 @@
 // Observe makes the sidecar call observe with each latency that it measures.
 func (s *Sidecar) Observe(observe func(Latency, time.Duration)) { s.observe = observe }
 
-// Heartbeat processes a heartbeat of the upstream.
+// Heartbeat processes a heartbeat of the upstream. A heartbeat of another incarnation than the last
+// one ends no flow by itself: it makes CheckFlows ask the upstream.
 func (s *Sidecar) Heartbeat(hb Heartbeat, now time.Time) HeartbeatOutcome {
-	first := s.monitor.Last().ID == ""
+	first := s.monitor.receivedAt.IsZero()
 	if first && hb.Sequence <= maxStartHeartbeats && hb.StartedAt.After(s.wallStart.Add(-readyDelay)) {
 		s.knowsAllFlows = true
 		s.noFlowsBefore = s.started.Add(-readyDelay)
 	}
-	lastHeartbeat := s.monitor.receivedAt
-	s.expireCalls = 0
-	s.absent = false
-	s.notListeningSince = time.Time{}
-	outcome := s.monitor.Heartbeat(hb, now)
-	if outcome != HeartbeatStarted {
-		return outcome
+	crashed := s.upstreamCrashed(now)
+	outcome := s.monitor.Heartbeat(hb, crashed || s.monitor.ending, now)
+	if outcome == HeartbeatStarted {
+		s.tag = TagOf(hb.Service)
+		s.readyAt = s.started.Add(hb.StartedAt.Sub(s.wallStart)).Add(readyDelay)
+		if latest := now.Add(readyDelay); s.readyAt.After(latest) {
+			s.readyAt = latest // the time of day was set
+		}
 	}
-	s.tag = TagOf(hb.Service)
-	start := s.started.Add(hb.StartedAt.Sub(s.wallStart))
-	s.readyAt = start.Add(readyDelay)
-	if latest := now.Add(readyDelay); s.readyAt.After(latest) {
-		s.readyAt = latest // the time of day was set
+	if outcome == HeartbeatStarted && crashed {
+		s.loseAllFlows()
 	}
-	if !first {
-		s.generation++
-		s.knowsAllFlows = true
-		s.noFlowsBefore = lastHeartbeat
-		s.discardUpstreamWork()
-		s.adoptNewFlows(start)
-	}
-	return outcome
-}
-
-// adoptNewFlows assigns the flows that were opened after the start of a new upstream to that
-// upstream, since it serves before its first heartbeat arrives.
-func (s *Sidecar) adoptNewFlows(start time.Time) {
-	for _, f := range s.flows {
-		if f.generation == s.generation-1 && !f.offeredAt.Before(start) {
-			f.generation = s.generation
-		}
+	if !first && (outcome == HeartbeatStarted || outcome == HeartbeatUnproven) {
+		clear(s.probes) // their answers may be of the former upstream
+		s.check.request(now)
 	}
-}
-
-// discardUpstreamWork removes the requests, opening packets and probes of an upstream that was
-// replaced.
-func (s *Sidecar) discardUpstreamWork() {
-	clear(s.probes)
-	s.queue = Queue{}
-	s.busy = 0
-	s.pendingOpenings = 0
-	for _, f := range s.flows {
-		f.awaitingAnswer, f.queued, f.pending = false, false, false
+	if outcome == HeartbeatStarted || outcome == HeartbeatAccepted {
+		s.expireCalls = 0
+		s.absent = false
+		s.notListeningSince = time.Time{}
 	}
+	return outcome
 }
 
 // End records that an upstream has announced its end, and reports whether id is that of this
@@ -309,10 +298,11 @@
 	return true
 }
 
-// UpstreamEnded reports whether the upstream no longer holds flows: it announced its end more than
-// endGrace ago, is absent, or has crashed.
+// UpstreamEnded reports whether the upstream no longer holds flows: it is absent or has crashed. If
+// it cannot be checked whether the upstream listens, it has also ended when it announced its end more
+// than EndGrace ago.
 func (s *Sidecar) UpstreamEnded(now time.Time) bool {
-	return s.monitor.ending && now.Sub(s.endedAt) > endGrace || s.upstreamCrashed(now)
+	return s.upstreamCrashed(now) || !s.listenChecks && s.monitor.ending && now.Sub(s.endedAt) > EndGrace
 }
 
 // Leave makes the sidecar accept no new flows and queue no new requests.
@@ -331,14 +321,14 @@
 	return state
 }
 
-// ForEachOrphan calls notify once for each established flow whose upstream was replaced or has
+// ForEachOrphan calls notify once for each established flow that is lost or whose upstream has
 // crashed, unless a direction of the flow has ended. ack is the acknowledgement number expected from
 // the flow's caller. The caller can then be reset before it sends its next request, which it could
 // not repeat if the request were lost.
 func (s *Sidecar) ForEachOrphan(now time.Time, notify func(k Key, ack uint32)) {
 	crashed := s.upstreamCrashed(now)
 	for k, f := range s.flows {
-		if f.orphanReported || f.ended != 0 || !f.established || f.generation == s.generation && !crashed {
+		if f.orphanReported || f.ended != 0 || !f.established || !f.lost && !crashed {
 			continue
 		}
 		f.orphanReported = true
@@ -356,10 +346,15 @@
 }
 
 // RecordListening records whether something listened at the upstream's address at a time. If
-// nothing has for endGrace, and neither a heartbeat nor data arrived, the upstream is absent: it
-// holds no flows, and this process will see all flows of the next one. RecordListening reports
-// whether the upstream has become absent.
+// nothing has for EndGrace, and neither a heartbeat nor data arrived, the upstream is absent: it
+// holds no flows, and this process will see all flows of the next one. After an announced end, EndGrace
+// begins with the announcement. RecordListening reports whether the upstream has become absent.
 func (s *Sidecar) RecordListening(listens bool, at time.Time) bool {
+	s.listenChecks = true
+	if listens {
+		s.listenedAt = at
+		s.expireCalls = 0
+	}
 	switch {
 	case listens || s.monitor.receivedAt.After(at) || s.lastServed.After(at):
 		s.notListeningSince = time.Time{}
@@ -367,7 +362,7 @@
 	case s.notListeningSince.IsZero():
 		s.notListeningSince = at
 	}
-	if s.absent || at.Sub(s.notListeningSince) < endGrace {
+	if s.absent || at.Sub(s.silentSince()) < EndGrace {
 		return false
 	}
 	s.absent = true
@@ -378,6 +373,15 @@
 	return true
 }
 
+// silentSince returns the time since which the upstream has neither listened nor served, as far as
+// checks and its announced end show.
+func (s *Sidecar) silentSince() time.Time {
+	if s.monitor.ending && s.endedAt.Before(s.notListeningSince) && !s.endedAt.Before(s.lastServed) {
+		return s.endedAt
+	}
+	return s.notListeningSince
+}
+
 // Load returns the sidecar's report, without Incarnation, Sequence, DomainID and Interval.
 func (s *Sidecar) Load(now time.Time) Load {
 	last := s.monitor.Last()
--- a/flow/upstream_packets.go
+++ b/flow/upstream_packets.go
@@ -5,24 +5,26 @@
 // FromUpstream returns the decision about a packet that the upstream sent.
 func (s *Sidecar) FromUpstream(p *Packet, now time.Time) SidecarVerdict {
 	if p.Flags.Has(FlagBounced) {
-		return s.handleBounced(p)
+		return s.handleBounced(p, now)
 	}
 	v := SidecarVerdict{Action: ActionCaller, Reason: ReasonKnown}
 	f, ok := s.flows[p.Key]
-	if !ok || f.generation != s.generation {
+	if !ok || f.lost {
 		if p.Flags.Has(FlagReset) {
 			// A newly started upstream answers a probe with a reset.
 			return s.probeNotHeld(p)
 		}
-		f = &flowState{firstSequence: p.Sequence - 1, answered: true, learned: true, established: !p.Flags.Has(FlagOpen), generation: s.generation}
+		pr := s.probes[p.Key]
+		f = &flowState{firstSequence: p.Sequence - 1, answered: true, learned: true, established: !p.Flags.Has(FlagOpen), delivered: pr.raw}
 		s.flows[p.Key] = f
-		v.Notify = s.probes[p.Key].origin
+		v.Notify = pr.origin
 		delete(s.probes, p.Key)
 	}
 	if p.Length > 0 || p.Flags.Has(FlagOpen) {
 		s.recordServing(now)
 	}
 	f.lastUsed = now
+	f.lastAnswer = now
 	if p.Flags.Has(FlagOpen) && !f.answered {
 		f.firstSequence = p.Sequence
 		f.answered = true
@@ -85,7 +87,7 @@
 }
 
 // handleBounced returns the decision about a caller's packet that the upstream returned.
-func (s *Sidecar) handleBounced(p *Packet) SidecarVerdict {
+func (s *Sidecar) handleBounced(p *Packet, now time.Time) SidecarVerdict {
 	f, ok := s.flows[p.Key]
 	switch {
 	case !ok:
@@ -96,11 +98,13 @@
 		v := forwardToSibling(&tp, ReasonBounced)
 		v.Returned = &tp
 		return v
-	case p.Opening() || f.ended != 0 || !f.answered || !f.ackMatches(p.Ack):
+	case p.Opening() || f.lost || f.ended != 0 || !f.answered || !f.ackMatches(p.Ack):
 		return SidecarVerdict{Action: ActionDrop, Reason: ReasonBounced}
 	}
-	// The upstream has answered the flow before and does not hold it now, so it is a new process.
-	s.removeFlow(p.Key, f)
+	// The upstream has answered the flow before and does not hold it now, so it may be a new process.
+	s.loseFlow(p.Key, f)
+	f.orphanReported = true
+	s.check.request(now)
 	if p.Flags.Has(FlagReset) {
 		return SidecarVerdict{Action: ActionDrop, Reason: ReasonUpstreamLost}
 	}
--- a/sidecar/flow_sidecar.go
+++ b/sidecar/flow_sidecar.go
@@ -53,6 +53,10 @@
 	incarnation uint64
 	// openingSent is signaled when an opening packet waits for the upstream's answer.
 	openingSent chan struct{}
+	// flowCheckDue is signaled when the upstream has to be asked about all flows.
+	flowCheckDue chan struct{}
+	// listenNow is signaled to check at once whether the upstream listens.
+	listenNow chan struct{}
 	// reportNow is signaled to send a report to the balancers at once.
 	reportNow chan struct{}
 
@@ -78,7 +82,10 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		openingSent: make(chan struct{}, 1),
 		reportNow:   make(chan struct{}, 1),
+		listenNow:   make(chan struct{}, 1),
 		sidecar:     flow.NewSidecar(monitor, cfg.Service, time.Duration(cfg.FlowLimit), c.Now(), time.Now()),
+
+		flowCheckDue: make(chan struct{}, 1),
 	}
 	var histograms [flow.LatencyCount]*daemon.Histogram
 	for m := range histograms {
@@ -125,6 +132,7 @@
 		f.reportAndExpire,
 		f.watchUnanswered,
 		f.runListenCheck,
+		f.runFlowChecks,
 		func(context.Context) { f.readTunnel() },
 		func(context.Context) { f.readOutbound() },
 	)
@@ -170,6 +178,10 @@
 // Heartbeat implements platform.HeartbeatReceiver.
 func (f *FlowSidecar) Heartbeat(h flow.Heartbeat) error {
 	f.counters.Reports.Inc(1)
+	if h.Address != f.cfg.Upstream {
+		f.log.Warn("heartbeat-refused", "upstream", h.ID, "address", h.Address.String(), "expected", f.cfg.Upstream.String())
+		return errors.Errorf("heartbeat: no upstream runs at %v here", h.Address)
+	}
 	if ok, err := f.cfg.serves(h.Service); !ok {
 		f.log.Warn("heartbeat-refused", "upstream", h.ID, "service", h.Service, "serves", f.cfg.Service, "error", daemon.ErrorText(err))
 		return errors.Errorf("heartbeat: no upstream of service %q runs here", h.Service)
@@ -180,6 +192,7 @@
 	outcome := f.sidecar.Heartbeat(h, now)
 	after := f.sidecar.State(now)
 	readyIn := f.sidecar.ReadyIn(now)
+	f.signalFlowCheck(now)
 	f.mu.Unlock()
 	if outcome == flow.HeartbeatStarted {
 		f.resetOrphans(now)
@@ -194,9 +207,6 @@
 	if before != after {
 		daemon.Signal(f.reportNow)
 	}
-	if outcome == flow.HeartbeatFormer {
-		return errors.New("heartbeat of an incarnation that was replaced")
-	}
 	return nil
 }
 
@@ -208,6 +218,7 @@
 	f.mu.Unlock()
 	f.log.Info("upstream-ending", "upstream", id, "current", isCurrent)
 	daemon.Signal(f.reportNow)
+	time.AfterFunc(flow.EndGrace, func() { daemon.Signal(f.listenNow) })
 }
 
 // Refused implements platform.HeartbeatReceiver.
@@ -421,6 +432,7 @@
 	f.mu.Lock()
 	verdict := f.sidecar.FromUpstream(&p, now)
 	f.sidecar.ReleaseQueued(now, f.sendToUpstream)
+	f.signalFlowCheck(now)
 	f.mu.Unlock()
 	if verdict.Returned != nil {
 		raw = verdict.Returned.Raw
--- a/sidecar/listen_check.go
+++ b/sidecar/listen_check.go
@@ -27,7 +27,7 @@
 	if !f.cfg.Health.IsValid() {
 		return
 	}
-	for ; ctx.Err() == nil; daemon.Sleep(ctx, listenCheckInterval) {
+	for ; ctx.Err() == nil; f.awaitListenCheck(ctx) {
 		checkedAt := f.clock.Sync()
 		f.mu.Lock()
 		needed := f.sidecar.NeedsListenCheck(checkedAt)
@@ -55,8 +55,17 @@
 	}
 }
 
+// awaitListenCheck waits for listenCheckInterval, or until listenNow is signaled or ctx ends.
+func (f *FlowSidecar) awaitListenCheck(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-f.listenNow:
+	case <-time.After(listenCheckInterval):
+	}
+}
+
 // resetOrphans sends a reset to the caller of each established flow that neither side has
-// ended and whose upstream was replaced or has crashed. Each flow is reset only once.
+// ended and that is lost or whose upstream has crashed. Each flow is reset only once.
 func (f *FlowSidecar) resetOrphans(now time.Time) {
 	type orphan struct {
 		key flow.Key
--- a/standin/flowtest/flows_test.go
+++ b/standin/flowtest/flows_test.go
@@ -358,6 +358,26 @@
 	}
 }
 
+// A heartbeat of another sender, with any start time, ends no flow of an upstream that runs, and does
+// not keep it from getting new flows: issue 27, review/2.
+func TestHeartbeatOfAnotherSender(t *testing.T) {
+	s := newSite(t)
+	flows := s.openFlows(9)
+	s.requestOnAll(flows, "at the start")
+	for _, offset := range []time.Duration{-time.Hour, 0, time.Hour} {
+		for i := range s.sidecars {
+			hb := flow.Heartbeat{
+				ID: "i-other", Service: coreService, State: flow.StateReady, StartedAt: time.Now().Add(offset), Sequence: 1, Slots: 2,
+				Address: s.block.Addr(sidecarSubnet, i+1, upstreamPort), FailureDomain: "a",
+			}
+			requireNoError(t, platform.SendHeartbeat(t.Context(), s.block.Addr(sidecarSubnet, i+1, controlPort), hb))
+		}
+		time.Sleep(500 * time.Millisecond)
+		s.requestOnAll(flows, fmt.Sprintf("after a heartbeat with start time %v", offset))
+	}
+	s.requestOnAll(s.openFlows(9), "on new flows")
+}
+
 // Open flows continue when all balancers and sidecars restart after a crash while the store is down.
 // New flows open once the store is up again.
 func TestStoreDownAndAllKilled(t *testing.T) {
--- a/standin/flowtest/upstream.go
+++ b/standin/flowtest/upstream.go
@@ -24,6 +24,8 @@
 	maxDatagram = 2048
 	// heartbeatInterval is the pause between two heartbeats.
 	heartbeatInterval = 300 * time.Millisecond
+	// failureDomain is what upstreams report as their failure domain.
+	failureDomain = "stand-in"
 )
 
 // Upstream answers each request with the request's bytes. While it is leaving, it ends each flow
@@ -77,9 +79,11 @@
 		service:      service,
 		outboundAddr: outboundAddr,
 		conn:         conn,
-		heartbeat:    flow.Heartbeat{ID: id, Service: service, State: flow.StateReady, StartedAt: time.Now(), Slots: 2},
-		flows:        map[flow.Key]*upstreamFlow{},
-		runCounts:    map[string]int{},
+		heartbeat: flow.Heartbeat{
+			ID: id, Service: service, Address: addr, FailureDomain: failureDomain, State: flow.StateReady, StartedAt: time.Now(), Slots: 2,
+		},
+		flows:     map[flow.Key]*upstreamFlow{},
+		runCounts: map[string]int{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 3)
