A sidecar no longer believes start times that it knows all flows

Cause: from the start time and the sequence number in its first heartbeat, a sidecar concluded that its upstream held no flows from before its own start (flow/sidecar.go, Heartbeat: wallStart, maxStartHeartbeats), and denied flows instead of probing, for the rest of its life.

Change: only a check that nothing listens at the upstream's address shows that. Otherwise the upstream is asked with the flow's packet. So that callers are told as soon after a loss of all power, packets go through relays in each failure domain, ahead of queries to members that need them; relays take turns; one message denies several flows and counts as an answer; retries come sooner.

--- a/balancer/flow_balancer.go
+++ b/balancer/flow_balancer.go
@@ -315,11 +315,11 @@
 		}
 		f.flowHeld(k, from)
 	case peer.KindNotDelivered:
-		k, notHeld, err := peer.ParseNotDelivered(body)
+		keys, notHeld, err := peer.ParseNotDelivered(body)
 		if err != nil {
 			return err
 		}
-		f.notDelivered(k, notHeld, from)
+		f.notDelivered(keys, notHeld, from)
 	case peer.KindAnswer:
 		a, err := peer.ParseAnswer(body)
 		if err != nil {
--- a/balancer/lookups.go
+++ b/balancer/lookups.go
@@ -34,14 +34,17 @@
 	}
 }
 
-// performActions sends the queries, buffered packets and introductions that lookups produce, resets
+// performActions sends the buffered packets, queries and introductions that lookups produce, resets
 // lost flows, and logs lost flows and stalled lookups.
 func (f *FlowBalancer) performActions(out *flow.LookupActions) {
-	for _, q := range out.Queries {
+	f.forwardBuffered(out.Packets)
+	for i := range out.Probes {
+		f.sendProbes(&out.Probes[i])
+	}
+	for _, q := range out.Queries { // after the packets, so that the answers take those into account
 		q.Query.Origin = f.cfg.Tunnel
 		f.send(peer.AppendQuery(nil, q.Query), q.To)
 	}
-	f.forwardBuffered(out.Packets)
 	f.introduce(out.Introduce)
 	for i := range out.Lost {
 		f.handleLostFlow(&out.Lost[i])
@@ -60,6 +63,16 @@
 	}
 }
 
+// sendProbes sends packets with which sidecars are to probe their upstreams.
+func (f *FlowBalancer) sendProbes(p *flow.OutgoingProbes) {
+	message := peer.Probes{RelayTo: p.RelayTo}
+	for i := range p.Packets {
+		packet := peer.AppendPacket(nil, &p.Packets[i].Path, 0, f.cfg.Tunnel, false)
+		message.Packets = append(message.Packets, append(packet, p.Packets[i].Raw...))
+	}
+	f.send(peer.AppendProbes(nil, &message), p.To)
+}
+
 // handleLostFlow counts and logs a flow that no sidecar holds, and resets it unless the caller has
 // reset it.
 func (f *FlowBalancer) handleLostFlow(l *flow.LostFlow) {
@@ -84,13 +97,16 @@
 	f.forwardBuffered(packets)
 }
 
-// notDelivered handles a sidecar's message that it did not deliver a packet. notHeld is set if the
-// sidecar's upstream certainly does not hold the flow.
-func (f *FlowBalancer) notDelivered(k flow.Key, notHeld bool, from netip.AddrPort) {
+// notDelivered handles a sidecar's message that it did not deliver packets of flows. notHeld is set if
+// the sidecar's upstream certainly does not hold them.
+func (f *FlowBalancer) notDelivered(keys []flow.Key, notHeld bool, from netip.AddrPort) {
 	f.mu.Lock()
-	f.balancer.HandleNotDelivered(k, from, notHeld, f.clock.Now())
+	now := f.clock.Now()
+	for _, k := range keys {
+		f.balancer.HandleNotDelivered(k, from, notHeld, now)
+	}
 	f.mu.Unlock()
-	f.log.Debug("flow-not-delivered", "flow", k.String(), "by", from.String(), "not-held", notHeld)
+	f.log.Debug("flow-not-delivered", "flow", keys[0].String(), "count", len(keys), "by", from.String(), "not-held", notHeld)
 }
 
 // handleAnswer handles a sidecar's answer to a query.
--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -184,6 +184,8 @@
 	// queryBytes enforces queryRate, probes enforces probeRate, and unrankedProbes enforces
 	// unrankedProbeRate.
 	queryBytes, probes, unrankedProbes *rate.Limiter
+	// relayedFlows enforces relayedFlowRate.
+	relayedFlows *rate.Limiter
 	// peers holds the number of members that each other balancer reported.
 	peers map[netip.AddrPort]peerMembers
 	// gossiped holds members that another balancer named recently and that have not reported here.
@@ -212,6 +214,7 @@
 		queryBytes: rate.NewLimiter(queryRate, queryBurst),
 		probes:     rate.NewLimiter(probeRate, probeRate),
 
+		relayedFlows:   newRelayedFlowLimiter(),
 		unrankedProbes: rate.NewLimiter(unrankedProbeRate, 2*unrankedProbeRate),
 
 		peers:          map[netip.AddrPort]peerMembers{},
--- a/flow/lookup.go
+++ b/flow/lookup.go
@@ -140,6 +140,7 @@
 type LookupActions struct {
 	Queries []OutgoingQuery
 	Packets []OutgoingPacket
+	Probes  []OutgoingProbes
 	Lost    []LostFlow
 	Stalled []StalledLookup
 	// Introduce are members that other balancers named and that have not reported here. This balancer
@@ -190,8 +191,12 @@
 	stallReported bool
 	// uncertain holds the members whose newest answer is LookupResultUncertain or
 	// LookupResultNeedsProbe. The value is when the member last got packets to probe its upstream
-	// with; zero if it got none.
+	// with directly; zero if it got none.
 	uncertain map[netip.AddrPort]time.Time
+	// notHeld holds the members whose upstreams have returned a packet of the flow.
+	notHeld map[netip.AddrPort]bool
+	// relayed are the probes that are relayed to members.
+	relayed relayedProbes
 }
 
 // enter begins a stage. stageNew also discards the hint: if the hinted sidecar confirms the flow
@@ -247,7 +252,7 @@
 		if len(b.lookups) >= lookupLimit {
 			return BalancerVerdict{Action: ActionDrop, Reason: ReasonTooManyLookups}
 		}
-		l = &lookup{key: p.Key, path: path, firstPacket: now}
+		l = &lookup{key: p.Key, path: path, firstPacket: now, uncertain: map[netip.AddrPort]time.Time{}, notHeld: map[netip.AddrPort]bool{}}
 		b.lookups[p.Key] = l
 		b.lookupOrder = append(b.lookupOrder, l)
 		l.hinted = loc.addr
@@ -316,6 +321,7 @@
 		return
 	}
 	if notHeld {
+		l.notHeld[from] = true
 		delete(l.uncertain, from)
 	}
 	if l.stage == stageHinted && l.hinted == from {
@@ -357,6 +363,7 @@
 	if b.LookupsPending() {
 		out.Introduce = b.introductions(now)
 	}
+	b.relayProbes(&out, now)
 	b.giveUpLost(&out, now)
 	return out
 }
@@ -391,10 +398,7 @@
 // recordResult processes a member's result for one lookup of a query.
 func (b *Balancer) recordResult(l *lookup, q *pendingQuery, from netip.AddrPort, result LookupResult, out *LookupActions, now time.Time) {
 	l.stopWaitingRanked(from)
-	budget := b.probes
-	if q.broadcast && !b.isRanked(l, from) {
-		budget = b.unrankedProbes
-	}
+	b.recordNeed(l, from, result)
 	switch result {
 	case LookupResultHeld:
 		out.Packets = append(out.Packets, b.HandleFlowHeld(l.key, from, now)...)
@@ -404,14 +408,14 @@
 	case LookupResultNotHeld:
 		delete(l.uncertain, from)
 	case LookupResultUncertain, LookupResultNeedsProbe:
-		if l.uncertain == nil {
-			l.uncertain = map[netip.AddrPort]time.Time{}
+		if l.notHeld[from] {
+			return // the answer was sent before the upstream returned the packet
+		}
+		if _, ok := l.uncertain[from]; !ok {
+			l.uncertain[from] = time.Time{}
 		}
-		at := l.uncertain[from]
-		if result == LookupResultNeedsProbe && budget.AllowN(now, len(l.packets)) {
-			out.Packets = append(out.Packets, l.packetsFor(from)...)
-			at = now
+		if result == LookupResultNeedsProbe {
+			b.probe(l, from, q.broadcast && !b.isRanked(l, from), out, now)
 		}
-		l.uncertain[from] = at
 	}
 }
--- a/flow/member.go
+++ b/flow/member.go
@@ -71,6 +71,9 @@
 	joined, noFlowsBefore time.Time
 	// attempts counts the queries sent since the member last answered or reported.
 	attempts attempts
+	// needsProbes is set if the member needs packets to answer queries, since it has to probe its
+	// upstream with them.
+	needsProbes bool
 	// lastQueried is when the member was last queried as a ranked member.
 	lastQueried time.Time
 	// seed is a hash of Addr from which the member's scores in rankings are computed.
--- a/flow/query.go
+++ b/flow/query.go
@@ -29,6 +29,10 @@
 	unrankedProbeRate = 700
 	// rankedRetryInterval is the time between queries to a ranked member.
 	//
+	// firstRetryInterval is the time until a broadcast is sent again to the members that have not
+	// answered. It doubles with each retry, up to maxRetryInterval. With many members, a datagram of most
+	// broadcasts is lost.
+	firstRetryInterval = 40 * time.Millisecond
 	// broadcastInterval is the time between new broadcasts, unless questionLimit lookups wait for one.
 	// Lookups that reach stageBroadcast in between are sent together.
 	rankedRetryInterval = 50 * time.Millisecond
@@ -64,6 +68,12 @@
 	return slices.ContainsFunc(q.lookups, func(l *lookup) bool { return l.stage != stageDone })
 }
 
+// turn selects the relays of the query. Balancers number their queries alike, so they also differ by
+// the flows that they ask about.
+func (q *pendingQuery) turn() int {
+	return int(uint32(q.lookups[0].key.Hash())>>1) + q.retries
+}
+
 // questions returns the questions of the query, one for each lookup.
 func (q *pendingQuery) questions() []Question {
 	list := make([]Question, len(q.lookups))
@@ -78,7 +88,7 @@
 	b.queryID++
 	q := &pendingQuery{
 		id: b.queryID, joinCount: b.joinCount, lookups: lookups, broadcast: broadcast, waiting: map[netip.AddrPort]time.Time{},
-		retryInterval: minRetryInterval, nextRetry: now.Add(minRetryInterval),
+		retryInterval: firstRetryInterval, nextRetry: now.Add(firstRetryInterval),
 	}
 	if broadcast {
 		q.queried = map[netip.AddrPort]bool{}
@@ -165,6 +175,9 @@
 		m := b.members[addr]
 		m.attempts.record(now)
 		m.lastQueried = now
+		for _, l := range batch.lookups[addr] {
+			b.probeAhead(l, addr, false, out, now)
+		}
 		for lookups := range slices.Chunk(batch.lookups[addr], questionLimit) {
 			q := b.newQuery(lookups, false, now)
 			q.waiting[addr] = now
@@ -189,6 +202,9 @@
 		q := b.newQuery(lookups, true, now)
 		for _, l := range lookups {
 			l.broadcast = q
+			for addr := range b.members {
+				b.probeAhead(l, addr, true, out, now)
+			}
 		}
 		b.sendBroadcast(q, slices.SortedFunc(maps.Keys(b.members), netip.AddrPort.Compare), out, now)
 	}
@@ -221,14 +237,16 @@
 		}
 		return
 	}
-	for _, group := range b.relayGroups(to, q.retries, now) {
+	for _, group := range b.relayGroups(to, q.turn(), now) {
 		out.Queries = append(out.Queries, OutgoingQuery{To: group[0], Query: &Query{ID: q.id, RelayTo: group[1:], Questions: questions}})
 	}
 }
 
 // relayGroups groups members by failure domain. The first member of each group relays the query to
-// the others. Each retry puts another member first, in case the relay has crashed.
-func (b *Balancer) relayGroups(to []netip.AddrPort, retries int, now time.Time) [][]netip.AddrPort {
+// the others. turn selects it, so that each query and each retry has another one: a relay may have
+// crashed, and its part of the work is that of all others. Members that are silent are not selected
+// while others are not.
+func (b *Balancer) relayGroups(to []netip.AddrPort, turn int, now time.Time) [][]netip.AddrPort {
 	domains := map[uint32][]netip.AddrPort{}
 	for _, addr := range to {
 		d := b.members[addr].Load.DomainID
@@ -240,7 +258,11 @@
 			return cmp.Or(b.relayOrder(x, now)-b.relayOrder(y, now), x.Compare(y))
 		})
 		for group := range slices.Chunk(domains[d], relayLimit+1) {
-			first := retries % len(group)
+			candidates := len(group)
+			if i := slices.IndexFunc(group, func(addr netip.AddrPort) bool { return b.relayOrder(addr, now) > 0 }); i > 0 {
+				candidates = i
+			}
+			first := turn % candidates
 			group[0], group[first] = group[first], group[0]
 			groups = append(groups, group)
 		}
@@ -375,8 +397,10 @@
 // heldByNone reports whether no member's upstream can hold a flow, and how many members were
 // uncertain but have an upstream that started after the lookup began.
 func (b *Balancer) heldByNone(l *lookup) (startedLater int, notHeld bool) {
-	if len(l.broadcast.waiting) > 0 {
-		return 0, false
+	for addr := range l.broadcast.waiting {
+		if !l.notHeld[addr] {
+			return 0, false
+		}
 	}
 	for addr := range b.members {
 		if !l.broadcast.queried[addr] {
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -14,7 +14,7 @@
 	// closedFlowAge is how long a flow is kept after both directions have ended.
 	closedFlowAge = 3 * time.Second
 	// probeInterval is the time between probes for a flow that the upstream does not answer.
-	probeInterval = time.Second
+	probeInterval = 250 * time.Millisecond
 	// probePeriod is how long after its start a sidecar probes its upstream for flows that the
 	// sidecar has no record of.
 	probePeriod = 65 * time.Second
@@ -30,12 +30,6 @@
 	// crashedExpireCalls is the number of calls of Expire during crashedAfter. With fewer, this
 	// process was paused and may have missed heartbeats.
 	crashedExpireCalls = 3
-	// readyDelay is the age from which an upstream gets new flows. An upstream that started less
-	// than readyDelay before this process therefore holds no flows that this process has not seen.
-	readyDelay = 50 * time.Millisecond
-	// maxStartHeartbeats is the largest sequence number of the first heartbeat received from such an
-	// upstream. It is checked because start times mislead if the time of day was set in between.
-	maxStartHeartbeats = 3
 	// queuedPerSlot is the number of requests that may wait for each slot before opening packets go
 	// to siblings.
 	queuedPerSlot = 1
@@ -188,11 +182,10 @@
 	tag Tag
 	// started is when this process started.
 	started time.Time
-	// knowsAllFlows is set if this process has seen all flows of the upstream: the upstream started
-	// later, or less than readyDelay earlier, or was found absent.
+	// knowsAllFlows is set if this process has seen all flows of the upstream: it has found that no
+	// upstream was there. Heartbeats do not show that, since start times follow a clock that can be
+	// set, and sequence numbers do not tell whether an earlier heartbeat was received.
 	knowsAllFlows bool
-	// wallStart is the same as started, by the time of day of the VM.
-	wallStart time.Time
 	// noFlowsBefore is a time before which no flow of the upstream was opened, if knowsAllFlows is
 	// set.
 	noFlowsBefore time.Time
@@ -214,8 +207,6 @@
 	// with no heartbeat or data since; otherwise zero.
 	notListeningSince time.Time
 	check             flowCheck
-	// readyAt is the earliest time at which the upstream gets new flows.
-	readyAt time.Time
 	// flows holds the flows of the upstream and of the upstreams before it, until they expire.
 	flows map[Key]*flowState
 	// probes holds the newest probe for each flow that this process has no record of.
@@ -237,11 +228,9 @@
 }
 
 // NewSidecar returns a sidecar for the upstream of a service. The sidecar starts at now, on a
-// monotonic clock, and at wallStart by the time of day of its VM. Flows without a packet for
-// idleTimeout are removed.
-func NewSidecar(monitor *HeartbeatMonitor, service string, idleTimeout time.Duration, now, wallStart time.Time) *Sidecar {
+// monotonic clock. Flows without a packet for idleTimeout are removed.
+func NewSidecar(monitor *HeartbeatMonitor, service string, idleTimeout time.Duration, now time.Time) *Sidecar {
 	return &Sidecar{
-		wallStart:   wallStart,
 		monitor:     monitor,
 		tag:         TagOf(service),
 		started:     now,
@@ -260,18 +249,10 @@
 // one ends no flow by itself: it makes CheckFlows ask the upstream.
 func (s *Sidecar) Heartbeat(hb Heartbeat, now time.Time) HeartbeatOutcome {
 	first := s.monitor.receivedAt.IsZero()
-	if first && hb.Sequence <= maxStartHeartbeats && hb.StartedAt.After(s.wallStart.Add(-readyDelay)) {
-		s.knowsAllFlows = true
-		s.noFlowsBefore = s.started.Add(-readyDelay)
-	}
 	crashed := s.upstreamCrashed(now)
 	outcome := s.monitor.Heartbeat(hb, crashed || s.monitor.ending, now)
 	if outcome == HeartbeatStarted {
 		s.tag = TagOf(hb.Service)
-		s.readyAt = s.started.Add(hb.StartedAt.Sub(s.wallStart)).Add(readyDelay)
-		if latest := now.Add(readyDelay); s.readyAt.After(latest) {
-			s.readyAt = latest // the time of day was set
-		}
 	}
 	if outcome == HeartbeatStarted && crashed {
 		s.loseAllFlows()
@@ -315,7 +296,7 @@
 	switch {
 	case s.leaving:
 		return StateLeaving
-	case state == StateReady && (s.absent || now.Before(s.readyAt)):
+	case state == StateReady && s.absent:
 		return StateWaiting
 	}
 	return state
@@ -336,9 +317,6 @@
 	}
 }
 
-// ReadyIn returns the time until an upstream that has just started gets new flows, or 0.
-func (s *Sidecar) ReadyIn(now time.Time) time.Duration { return max(0, s.readyAt.Sub(now)) }
-
 // NeedsListenCheck reports whether a check is due that the upstream listens: it has sent no recent
 // heartbeat, has announced its end, or leaves opening packets unanswered.
 func (s *Sidecar) NeedsListenCheck(now time.Time) bool {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -35,6 +35,9 @@
 	KindQuery
 	// KindAnswer answers a KindQuery.
 	KindAnswer
+	// KindProbes carries several KindPackets with which a sidecar probes its upstream, and lists
+	// sidecars to which it relays them.
+	KindProbes
 )
 
 // Errors of parsing a datagram.
@@ -49,7 +52,7 @@
 const (
 	// magic is the first byte of each datagram. It changes with the layout of the messages, so that
 	// processes of another version reject them instead of misreading them.
-	magic = 0xd8
+	magic = 0xd9
 	// flagOffered and flagConfirm are the flags of a KindPacket: those of flow.TunnelPacket.Offered
 	// and flow.Path.Confirm.
 	flagOffered = 1
@@ -205,22 +208,29 @@
 	return flow.KeyFromBinary(b), nil
 }
 
-// AppendNotDelivered appends a KindNotDelivered for a packet of flow k. notHeld reports whether the
-// sender's upstream certainly does not hold the flow.
-func AppendNotDelivered(b []byte, k flow.Key, notHeld bool) []byte {
+// AppendNotDelivered appends a KindNotDelivered for a packet of each of the flows. notHeld reports
+// whether the sender's upstream certainly does not hold them.
+func AppendNotDelivered(b []byte, notHeld bool, keys ...flow.Key) []byte {
 	flags := byte(0)
 	if notHeld {
 		flags |= flagNotHeld
 	}
-	return k.AppendBinary(append(b, magic, byte(KindNotDelivered), flags))
+	b = append(b, magic, byte(KindNotDelivered), flags)
+	for _, k := range keys {
+		b = k.AppendBinary(b)
+	}
+	return b
 }
 
 // ParseNotDelivered parses the body of a KindNotDelivered.
-func ParseNotDelivered(b []byte) (k flow.Key, notHeld bool, err error) {
-	if len(b) < 1+flow.KeySize {
-		return flow.Key{}, false, ErrTruncated
+func ParseNotDelivered(b []byte) (keys []flow.Key, notHeld bool, err error) {
+	if len(b) <= 1 || (len(b)-1)%flow.KeySize != 0 {
+		return nil, false, ErrTruncated
+	}
+	for rest := b[1:]; len(rest) > 0; rest = rest[flow.KeySize:] {
+		keys = append(keys, flow.KeyFromBinary(rest))
 	}
-	return flow.KeyFromBinary(b[1:]), b[0]&flagNotHeld != 0, nil
+	return keys, b[0]&flagNotHeld != 0, nil
 }
 
 // BalancerInfo is what gossip reports about one balancer.
--- a/sidecar/flow_sidecar.go
+++ b/sidecar/flow_sidecar.go
@@ -53,6 +53,8 @@
 	incarnation uint64
 	// openingSent is signaled when an opening packet waits for the upstream's answer.
 	openingSent chan struct{}
+	// notHeld are flows that balancers are to be notified about.
+	notHeld *notHeldFlows
 	// flowCheckDue is signaled when the upstream has to be asked about all flows.
 	flowCheckDue chan struct{}
 	// listenNow is signaled to check at once whether the upstream listens.
@@ -83,8 +85,9 @@
 		openingSent: make(chan struct{}, 1),
 		reportNow:   make(chan struct{}, 1),
 		listenNow:   make(chan struct{}, 1),
-		sidecar:     flow.NewSidecar(monitor, cfg.Service, time.Duration(cfg.FlowLimit), c.Now(), time.Now()),
+		sidecar:     flow.NewSidecar(monitor, cfg.Service, time.Duration(cfg.FlowLimit), c.Now()),
 
+		notHeld:      newNotHeldFlows(),
 		flowCheckDue: make(chan struct{}, 1),
 	}
 	var histograms [flow.LatencyCount]*daemon.Histogram
@@ -133,6 +136,7 @@
 		f.watchUnanswered,
 		f.runListenCheck,
 		f.runFlowChecks,
+		func(ctx context.Context) { f.notHeld.run(ctx, f.send) },
 		func(context.Context) { f.readTunnel() },
 		func(context.Context) { f.readOutbound() },
 	)
@@ -191,15 +195,11 @@
 	before := f.sidecar.State(now)
 	outcome := f.sidecar.Heartbeat(h, now)
 	after := f.sidecar.State(now)
-	readyIn := f.sidecar.ReadyIn(now)
 	f.signalFlowCheck(now)
 	f.mu.Unlock()
 	if outcome == flow.HeartbeatStarted {
 		f.resetOrphans(now)
 	}
-	if readyIn > 0 {
-		time.AfterFunc(readyIn, func() { daemon.Signal(f.reportNow) })
-	}
 	if outcome != flow.HeartbeatAccepted || before != after {
 		f.log.Info("heartbeat", "upstream", h.ID, "outcome", outcome.String(), "reported-state", h.State.String(),
 			"sequence", h.Sequence, "born", h.StartedAt, "state-before", before.String(), "state", after.String())
@@ -349,6 +349,8 @@
 		return nil
 	case peer.KindQuery:
 		return f.answerQuery(body)
+	case peer.KindProbes:
+		return f.handleProbes(body, out)
 	default:
 		return peer.ErrForeign
 	}
@@ -380,6 +382,34 @@
 	return nil
 }
 
+// handleProbes probes the upstream with the packets of a message, and relays them to the siblings
+// that the message lists.
+func (f *FlowSidecar) handleProbes(body, out []byte) error {
+	probes, err := peer.ParseProbes(body)
+	if err != nil {
+		return err
+	}
+	if len(probes.RelayTo) > 0 {
+		message := peer.AppendProbes(nil, &peer.Probes{Packets: probes.Packets})
+		for _, addr := range probes.RelayTo {
+			f.send(message, addr)
+		}
+	}
+	for _, packet := range probes.Packets {
+		kind, body, err := peer.KindOf(packet)
+		if err == nil && kind != peer.KindPacket {
+			err = peer.ErrForeign
+		}
+		if err == nil {
+			err = f.handlePacket(body, out)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // handlePacket handles a caller's packet that a balancer or a sibling has forwarded.
 func (f *FlowSidecar) handlePacket(body, out []byte) error {
 	var received flow.TunnelPacket
@@ -470,7 +500,7 @@
 	if verdict.Notify.IsValid() {
 		f.notifyBalancer(p.Key, verdict)
 	}
-	if verdict.Reason != flow.ReasonKnown {
+	if verdict.Reason != flow.ReasonKnown && !(verdict.Reason == flow.ReasonProbe || verdict.NotHeld) {
 		attrs := []any{"flow", p.Key.String(), "reason", verdict.Reason.String(), "action", verdict.Action.String(), "opening", p.Opening()}
 		if verdict.Action == flow.ActionForward {
 			attrs = append(attrs, "hop", verdict.Hop, "to", verdict.To.String())
@@ -482,8 +512,12 @@
 // notifyBalancer reports to the balancer verdict.Notify that this sidecar's upstream holds the
 // flow, or that the packet was not delivered.
 func (f *FlowSidecar) notifyBalancer(k flow.Key, verdict *flow.SidecarVerdict) {
+	if verdict.NotDelivered && verdict.NotHeld {
+		f.notHeld.add(k, verdict.Notify)
+		return
+	}
 	if verdict.NotDelivered {
-		f.send(peer.AppendNotDelivered(nil, k, verdict.NotHeld), verdict.Notify)
+		f.send(peer.AppendNotDelivered(nil, false, k), verdict.Notify)
 		return
 	}
 	f.send(peer.AppendFlowHeld(nil, k), verdict.Notify)
--- a/soak/site.go
+++ b/soak/site.go
@@ -328,7 +328,7 @@
 	defer p.mu.Unlock()
 	p.upstreamStarts++
 	id := fmt.Sprintf("%s-%d", p.upstreamAddr.Addr(), p.upstreamStarts)
-	u, stop, err := flowtest.StartUpstream(p.service, id, p.upstreamAddr, p.outboundAddr, p.heartbeatAddr)
+	u, stop, err := flowtest.StartUpstream(p.service, id, time.Now(), p.upstreamAddr, p.outboundAddr, p.heartbeatAddr)
 	if err != nil {
 		return err
 	}
