--- a/peer/peer.go
+++ b/peer/peer.go
@@ -85,6 +85,12 @@
 	return Kind(b[1]), b[commonSize:], nil
 }
 
+// IsUnicast reports whether a process can have the address: a unicast IPv4 address and a port.
+func IsUnicast(addr netip.AddrPort) bool {
+	ip := addr.Addr()
+	return ip.Is4() && !ip.IsUnspecified() && !ip.IsMulticast() && addr.Port() != 0
+}
+
 // appendAddr appends an IPv4 address and port. An IP address that is not IPv4 is sent as 0.0.0.0.
 func appendAddr(b []byte, a netip.AddrPort) []byte {
 	var ip [4]byte
--- a/registry/known_balancers.go
+++ b/registry/known_balancers.go
@@ -49,7 +49,7 @@
 func (k *KnownBalancers) Observe(addr netip.AddrPort, seenAt, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if addr == k.self || !addr.IsValid() || now.Sub(seenAt) > expireAfter {
+	if addr == k.self || !peer.IsUnicast(addr) || now.Sub(seenAt) > expireAfter {
 		return false
 	}
 	previous, known := k.lastSeen[addr]
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"greengagedyke/daemon"
+	"greengagedyke/peer"
 	"greengagedyke/platform"
 )
 
@@ -113,9 +114,9 @@
 }
 
 // addressOf extracts the address of one role from a value. It returns false for other values, deleted
-// ones and malformed keys.
+// ones and keys of other writers, which name no address that a process can have.
 func addressOf(v *platform.Value, role Role) (netip.AddrPort, bool) {
 	text, ok := strings.CutPrefix(v.Key, keyPrefix+string(role))
 	addr, err := netip.ParseAddrPort(text)
-	return addr, ok && err == nil && !v.Deleted
+	return addr, ok && err == nil && !v.Deleted && peer.IsUnicast(addr)
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -157,6 +158,30 @@
 	await(t, reg, true, balancers)
 }
 
+// Another writer left odd entries among those of the processes. They name no address, and the others
+// are still read: issue 27, reports of other operators.
+func TestOddEntries(t *testing.T) {
+	reg, s := newRegistry(t)
+	keepRegistered(t, reg, registry.RoleSidecar, false)
+	for _, key := range []string{
+		"", "x", "10.0.0.1", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:0", "0.0.0.0:1", "224.0.0.1:1", "[::1]:1", "256.0.0.1:1",
+		"10.0.0.1:99999999999999999999", "a/b/c/d", "10.0.0.1:1/x", "\x00\xff",
+	} {
+		for _, data := range []string{"", "\xff", strings.Repeat("[", 20_000), "99999999999999999999", "-1", `{"era":{}}`} {
+			put := platform.Put{Key: "greengagedyke/sidecars/" + key, Data: []byte(data)}
+			if _, _, err := s.Write(platform.Transaction{Puts: []platform.Put{put}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	await(t, reg, true, func(a registry.Addresses) []netip.AddrPort {
+		if len(a.Sidecars) > 1 {
+			t.Fatalf("got sidecars %v, want no others than %v", a.Sidecars, self)
+		}
+		return a.Sidecars
+	})
+}
+
 // The time between calls to an unavailable store grows.
 func TestBackoff(t *testing.T) {
 	s, addr, stop, err := store.Start(netip.MustParseAddrPort("127.0.0.1:0"))
