Opening packets follow the route, not the location of a former flow

Cause: flow/balancer.go, Decide: a confirmed location came before the route, also for opening packets, and the path got the tag of the sidecar's own service, so the sidecar's check compared it with itself.

Change: an opening packet follows the configuration; a location counts for it only if its sidecar serves what the route leads to.

--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -334,11 +334,13 @@
 	return *m, true
 }
 
-// Decide returns the decision about a caller's packet.
+// Decide returns the decision about a caller's packet. An opening packet follows the configuration,
+// also if its caller has used the same port before.
 func (b *Balancer) Decide(p *Packet, now time.Time) BalancerVerdict {
 	loc, ok := b.locations.get(p.Key)
 	route := b.cfg.Routes[p.Key.Service()]
-	if ok && loc.confirmed && b.isCurrent(&loc) {
+	known := ok && loc.confirmed && b.isCurrent(&loc)
+	if known && !p.Opening() {
 		return b.forwardKnown(p, loc, route, now)
 	}
 	hash := p.Key.Hash()
@@ -360,6 +362,12 @@
 	if !p.Opening() {
 		return b.lookUp(p, path, loc, now)
 	}
+	if known && b.members[loc.addr].Load.Tag == service.Tag {
+		return b.forwardKnown(p, loc, route, now)
+	}
+	if known {
+		loc = location{} // the flow was of a service that the route no longer leads to
+	}
 	if l, ok := b.lookups[p.Key]; ok {
 		b.finish(l) // the caller reuses its port for a new flow
 	}
--- a/flow/balancer_test.go
+++ b/flow/balancer_test.go
@@ -198,3 +198,35 @@
 		t.Errorf("got %d members, want the one that reports", all)
 	}
 }
+
+// A caller uses its port again after a change of the configuration. The new flow follows the route that
+// is in force then, not the location of the former flow: review/1.
+func TestOpeningFollowsChangedRoute(t *testing.T) {
+	now := time.Unix(100, 0)
+	open := func() (*Balancer, *Packet) {
+		b := testBalancer(3, now)
+		reportReady(b, 9, otherServiceName, 1, now)
+		b.SetPeerMemberCount(testPeer, 4, now)
+		p := openingPacket(0)
+		b.HandleFlowHeld(p.Key, b.Decide(p, now).Path.To, now)
+		return b, p
+	}
+	later := now.Add(settledAfter + time.Millisecond)
+	b, p := open()
+	holder := b.Decide(p, later).Path.To
+	if got := b.Decide(openingPacket(1), later); got.Path.To != holder {
+		t.Errorf("retransmission: got %v, want the flow's sidecar %v", got.Path.To, holder)
+	}
+	b.Configure(&Configuration{Version: 2, Routes: map[netip.AddrPort]*Route{testService: routeTo(otherServiceName)}})
+	if got := b.Decide(dataPacket(), later); got.Path.To != holder {
+		t.Errorf("open flow: got %v, want its sidecar %v", got.Path.To, holder)
+	}
+	if got := b.Decide(p, later); got.Action != ActionForward || got.Path.To != memberAddr(9) || got.Path.Tag != TagOf(otherServiceName) {
+		t.Errorf("new flow on a moved route: got %v to %v, want %v", got.Action, got.Path.To, memberAddr(9))
+	}
+	b, p = open()
+	b.Configure(&Configuration{Version: 2, Routes: map[netip.AddrPort]*Route{}})
+	if got := b.Decide(p, later); got.Action != ActionReset || got.Reason != ReasonNoRoute {
+		t.Errorf("new flow on a dropped route: got %v, %v, want %v, %v", got.Action, got.Reason, ActionReset, ReasonNoRoute)
+	}
+}
