A late report of a sidecar's former process is ignored

What callers could see: a report of the process before the present one arrives late and says that the upstream has ended. Lookups then wait for two unanswered queries only, so a flow of a living upstream is reset while its sidecar is slow.

Cause: flow/balancer.go, HandleReport, accepted each report of another incarnation than the last one: a belief from one message.

Change: a member remembers the incarnations that were replaced. They are compared for equality alone, since they are start times.

Evidence: TestLateReportOfFormerProcess failed before (1 lost flow) and passes. Found by reading; not seen in a run.

--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -239,7 +239,8 @@
 
 // HandleReport processes a sidecar's report, and reports whether the member is new or has changed
 // its state or service. A report of the same incarnation as the last one is ignored if it is not
-// newer. A report of another incarnation is always accepted.
+// newer, and one of an incarnation that another has replaced is late. A report of any other
+// incarnation is accepted.
 func (b *Balancer) HandleReport(from netip.AddrPort, l Load, now time.Time) bool {
 	m, ok := b.members[from]
 	if !ok {
@@ -247,9 +248,12 @@
 		m.seed = memberSeed(m)
 		b.members[from] = m
 	}
-	if ok && m.Load.Incarnation == l.Incarnation && l.Sequence <= m.Load.Sequence {
+	if ok && (m.Load.Incarnation == l.Incarnation && l.Sequence <= m.Load.Sequence || m.isFormer(l.Incarnation)) {
 		return false
 	}
+	if ok && m.Load.Incarnation != l.Incarnation {
+		m.recordFormer(m.Load.Incarnation)
+	}
 	rankingChanged := !ok || m.Load.Tag != l.Tag
 	changed := rankingChanged || m.Load.State != l.State
 	if rankingChanged {
--- a/flow/balancer_test.go
+++ b/flow/balancer_test.go
@@ -134,6 +134,28 @@
 	}
 }
 
+// A report of a sidecar's former process arrives late and says that the upstream has ended. The present
+// process has reported since, so the flows of its upstream are not given up while it is slow to answer.
+func TestLateReportOfFormerProcess(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := testBalancer(3, now)
+	now = now.Add(settledAfter + time.Millisecond)
+	former := Load{Incarnation: 1, Sequence: 7, Tag: TagOf(testServiceName), State: StateLeaving, UpstreamEnded: true}
+	present := Load{Incarnation: 2, Sequence: 1, Tag: TagOf(testServiceName), State: StateReady}
+	b.HandleReport(memberAddr(0), present, now)
+	b.HandleReport(memberAddr(0), former, now)
+	if m, _ := b.Member(memberAddr(0)); m.Load != present {
+		t.Errorf("got report %+v, want that of the present process", m.Load)
+	}
+	startLookup(t, b, dataPacket(), now)
+	out := runLookups(b, now, unreachableAfter/2, func(addr netip.AddrPort, _ *Question) (LookupResult, bool) {
+		return LookupResultNotHeld, addr != memberAddr(0)
+	})
+	if len(out.Lost) != 0 {
+		t.Errorf("got %d lost flows, want none: %v has not answered", len(out.Lost), memberAddr(0))
+	}
+}
+
 // pathMembers returns the sidecars on the path of a verdict.
 func pathMembers(v *BalancerVerdict) map[netip.AddrPort]bool {
 	all := map[netip.AddrPort]bool{v.Path.To: true}
--- a/flow/member.go
+++ b/flow/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -69,6 +70,8 @@
 	// joined is when the first report arrived. noFlowsBefore is a time before which no flow of the
 	// upstream was opened; zero if unknown.
 	joined, noFlowsBefore time.Time
+	// former are the last incarnations of the sidecar that were replaced, in order.
+	former []uint64
 	// attempts counts the queries sent since the member last answered or reported.
 	attempts attempts
 	// needsProbes is set if the member needs packets to answer queries, since it has to probe its
@@ -80,6 +83,20 @@
 	seed uint64
 }
 
+// formerLimit is the number of replaced incarnations that a member remembers.
+const formerLimit = 8
+
+// isFormer reports whether an incarnation of the sidecar is known to have been replaced.
+func (m *Member) isFormer(incarnation uint64) bool { return slices.Contains(m.former, incarnation) }
+
+// recordFormer records that an incarnation was replaced.
+func (m *Member) recordFormer(incarnation uint64) {
+	if len(m.former) == formerLimit {
+		m.former = slices.Delete(m.former, 0, 1)
+	}
+	m.former = append(m.former, incarnation)
+}
+
 // attempts counts messages to a process that it has not answered.
 type attempts struct {
 	// first and last are when the first and the last counted message were sent, and count is their
