Query IDs of a balancer differ from those of its former process

What callers could see: a balancer restarts, and late answers to its former process count as answers to its own queries, about other flows: "not held" for a flow that is held.

Change: the first number is random.

Evidence: TestQueryIDsDifferBetweenProcesses failed before (all began at 1) and passes.

--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -211,6 +212,7 @@
 
 		lookups:    map[Key]*lookup{},
 		queries:    map[uint32]*pendingQuery{},
+		queryID:    rand.Uint32(), // so that late answers to an earlier process match no query
 		queryBytes: rate.NewLimiter(queryRate, queryBurst),
 		probes:     rate.NewLimiter(probeRate, probeRate),
 
--- a/flow/balancer_test.go
+++ b/flow/balancer_test.go
@@ -156,6 +156,20 @@
 	}
 }
 
+// A balancer restarts. A late answer to a query of its former process matches none of its own.
+func TestQueryIDsDifferBetweenProcesses(t *testing.T) {
+	ids := map[uint32]bool{}
+	for range 4 {
+		now := time.Unix(100, 0)
+		b := testBalancer(1, now)
+		startLookup(t, b, dataPacket(), now)
+		ids[runLookups(b, now, lookupStep, noneHeld).Queries[0].Query.ID] = true
+	}
+	if len(ids) != 4 {
+		t.Errorf("got first IDs %v, want 4 different ones", ids)
+	}
+}
+
 // pathMembers returns the sidecars on the path of a verdict.
 func pathMembers(v *BalancerVerdict) map[netip.AddrPort]bool {
 	all := map[netip.AddrPort]bool{v.Path.To: true}
