A restored store's list of sidecars is not complete while some may be missing

Cause: the list counted as complete once each entry in it was of the present era (registry.parseAddresses); that shows nothing about missing entries.

Change: a process that notices a new era leaves a mark in the store for 12 s, the time within which each running process registers again. While it is there, the list does not count as complete. One read and at most one grant and one write a process at each new era.

Evidence: TestRestoredListCountsAsComplete failed before (complete after 1.8 s) and passes.

TestRestoredListCountsAsComplete wanted the list to be complete within 12 s; it now wants it incomplete for these 12 s, when entries may be missing, and complete within 12 s more.

--- a/registry/registration.go
+++ b/registry/registration.go
@@ -21,6 +21,9 @@
 	// newEraDelay is the largest random delay before a lease is checked after a new era of the store
 	// began, so that processes do not call the store at the same time.
 	newEraDelay = 2 * time.Second
+	// restoredTTL is how long the store has the mark that it was restored. By then, each running process
+	// has noticed that and registered again.
+	restoredTTL = renewInterval + newEraDelay
 	// revokeTimeout limits the calls that revoke the lease of a stopping process.
 	revokeTimeout = 300 * time.Millisecond
 )
@@ -39,10 +42,15 @@
 func (r *Registry) KeepRegistered(ctx context.Context, role Role, addr netip.AddrPort, revokeOnStop func() bool) {
 	reachable := true
 	var b backoff
+	var last registration // what was registered last
 	for ctx.Err() == nil {
 		reg := &registration{key: keyPrefix + string(role) + addr.String()}
-		err := r.register(ctx, reg)
+		err := r.markNewEra(ctx, &last)
 		if err == nil {
+			err = r.register(ctx, reg)
+		}
+		if err == nil {
+			last = *reg
 			r.log.Info("registered", "address", addr.String(), "lease", uint64(reg.lease), "era", reg.era)
 			b.reset()
 			err = r.renew(ctx, reg)
@@ -112,6 +120,9 @@
 		return 0, err
 	}
 	found := registration{key: reg.key, lease: previous.Lease, era: decodeEra(previous.Data)}
+	if err := r.markNewEra(ctx, &found); err != nil {
+		return 0, err
+	}
 	err = r.store.KeepAlive(ctx, found.lease)
 	if err == nil {
 		err = r.confirm(ctx, &found)
@@ -135,13 +146,17 @@
 }
 
 // confirm makes sure that the address is in the store under the lease, if a new era began since that
-// was last known. The written value then names the new era. It returns platform.ErrNoLease if the
+// was last known. The written value then names the new era, and the store
+// has a mark that it was restored. It returns platform.ErrNoLease if the
 // address is not there.
 func (r *Registry) confirm(ctx context.Context, reg *registration) error {
 	era := r.store.Era()
 	if reg.era == era {
 		return nil
 	}
+	if err := r.markNewEra(ctx, reg); err != nil {
+		return err
+	}
 	v, err := r.readOwn(ctx, reg)
 	if err != nil {
 		return err
@@ -157,6 +172,33 @@
 	return nil
 }
 
+// markNewEra writes a mark that the store was restored if a new era has begun since reg was made, unless
+// there is such a mark. The mark stays for restoredTTL. Processes that start meanwhile know from it that
+// the store may have lost addresses.
+func (r *Registry) markNewEra(ctx context.Context, reg *registration) error {
+	era := r.store.Era()
+	if reg.lease == 0 || reg.era == era {
+		return nil
+	}
+	_, err := r.store.Get(ctx, restoredKey)
+	if err == nil || !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	lease, _, err := r.store.Grant(ctx, restoredTTL)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.Write(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: restoredKey}},
+		Puts:       []platform.Put{{Key: restoredKey, Data: encodeEra(era), Lease: lease}},
+	})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return nil // another process was first
+	}
+	return err
+}
+
 // readOwn returns the value of the address. It returns platform.ErrNoLease if there is none or it has
 // another lease.
 func (r *Registry) readOwn(ctx context.Context, reg *registration) (platform.Value, error) {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -23,6 +23,8 @@
 
 const (
 	keyPrefix = "greengagedyke/"
+	// restoredKey is the key of the mark that the store was restored from an older copy recently.
+	restoredKey = keyPrefix + "restored"
 	// pollInterval is the time between reads of all addresses from the store.
 	pollInterval = 15 * time.Second
 )
@@ -56,8 +58,9 @@
 type Addresses struct {
 	Balancers []netip.AddrPort
 	Sidecars  []netip.AddrPort
-	// Complete is set if all sidecars were registered in the store's current era. Otherwise the store
-	// was restored from an older copy, and sidecars that it has lost may not be registered again yet.
+	// Complete is set if all sidecars were registered in the store's current era, and no process has
+	// found recently that the store was restored. Otherwise the store was restored from an older copy,
+	// and sidecars that it has lost may not be registered again yet.
 	Complete bool
 }
 
@@ -102,6 +105,9 @@
 func parseAddresses(list []platform.Value, era uint64) Addresses {
 	a := Addresses{Complete: true}
 	for _, v := range list {
+		if v.Key == restoredKey {
+			a.Complete = false
+		}
 		if addr, ok := addressOf(&v, RoleBalancer); ok {
 			a.Balancers = append(a.Balancers, addr)
 		}
