--- a/flow/flow_check.go
+++ b/flow/flow_check.go
@@ -1,8 +1,6 @@
 package flow
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// checkRounds is the number of times that a flow is checked, since a packet may be lost.
--- a/flow/query.go
+++ b/flow/query.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -68,11 +67,8 @@
 	return slices.ContainsFunc(q.lookups, func(l *lookup) bool { return l.stage != stageDone })
 }
 
-// turn selects the relays of the query. Balancers number their queries alike, so they also differ by
-// the flows that they ask about.
-func (q *pendingQuery) turn() int {
-	return int(uint32(q.lookups[0].key.Hash())>>1) + q.retries
-}
+// turn selects the relays of the query.
+func (q *pendingQuery) turn() uint32 { return q.id + uint32(q.retries) }
 
 // questions returns the questions of the query, one for each lookup.
 func (q *pendingQuery) questions() []Question {
@@ -242,42 +238,6 @@
 	}
 }
 
-// relayGroups groups members by failure domain. The first member of each group relays the query to
-// the others. turn selects it, so that each query and each retry has another one: a relay may have
-// crashed, and its part of the work is that of all others. Members that are silent are not selected
-// while others are not.
-func (b *Balancer) relayGroups(to []netip.AddrPort, turn int, now time.Time) [][]netip.AddrPort {
-	domains := map[uint32][]netip.AddrPort{}
-	for _, addr := range to {
-		d := b.members[addr].Load.DomainID
-		domains[d] = append(domains[d], addr)
-	}
-	var groups [][]netip.AddrPort
-	for _, d := range slices.Sorted(maps.Keys(domains)) {
-		slices.SortFunc(domains[d], func(x, y netip.AddrPort) int {
-			return cmp.Or(b.relayOrder(x, now)-b.relayOrder(y, now), x.Compare(y))
-		})
-		for group := range slices.Chunk(domains[d], relayLimit+1) {
-			candidates := len(group)
-			if i := slices.IndexFunc(group, func(addr netip.AddrPort) bool { return b.relayOrder(addr, now) > 0 }); i > 0 {
-				candidates = i
-			}
-			first := turn % candidates
-			group[0], group[first] = group[first], group[0]
-			groups = append(groups, group)
-		}
-	}
-	return groups
-}
-
-// relayOrder returns the sort key of a member for the choice of relays: silent members come last.
-func (b *Balancer) relayOrder(addr netip.AddrPort, now time.Time) int {
-	if b.members[addr].silent(now) {
-		return 1
-	}
-	return 0
-}
-
 // retryBroadcasts sends broadcast queries again to members that did not answer or were uncertain,
 // and to members that have joined since. It stops waiting for unreachable members, and drops queries
 // that are no longer needed.
--- a/flow/relayed_probes.go
+++ b/flow/relayed_probes.go
@@ -61,13 +61,15 @@
 	}
 }
 
-// probeAhead probes a member that is about to be queried if it needs packets to answer.
+// probeAhead probes a member that is about to be queried if it needs packets to answer. With many
+// members, the packets of a broadcast are relayed.
 func (b *Balancer) probeAhead(l *lookup, addr netip.AddrPort, broadcast bool, out *LookupActions, now time.Time) {
 	if !b.members[addr].needsProbes || len(l.packets) == 0 {
 		return
 	}
-	b.probe(l, addr, broadcast, out, now)
-	if broadcast {
+	relay := broadcast && len(b.members) > broadcastOnlyMembers
+	b.probe(l, addr, relay, out, now)
+	if relay {
 		l.relayed.since = time.Time{} // due at once
 	}
 }
