A sidecar probes its upstream for as long as flows may be idle

What callers could see: where flows may be idle for more than a minute, a sidecar that restarted more than 65 s before answered "not held" for an idle flow of its living upstream, and balancers reset it.

Cause: the time after which it stopped probing was fixed (probePeriod, 65 s), a belief from a clock; the idle timeout of flows is a setting.

Change: the idle timeout and 5 s. With the timeout of a minute nothing changes.

Evidence: TestIdleFlowIsProbedUntilTheTimeout failed before with ten minutes and passes.

--- a/flow/answer.go
+++ b/flow/answer.go
@@ -39,10 +39,10 @@
 
 // unknownFlowResult returns the answer about a flow that this process has no record of. The
 // upstream does not hold the flow if this process has seen all of the upstream's flows, or if the
-// upstream has crashed. Otherwise, the upstream has to be probed; once probePeriod is over, it counts
-// as not holding the flow.
+// upstream has crashed. Otherwise, the upstream has to be probed, until the flow has had no packet for
+// longer than the idle timeout.
 func (s *Sidecar) unknownFlowResult(k Key, now time.Time) LookupResult {
-	if s.knowsAllFlows || now.Sub(s.started) > probePeriod || s.upstreamCrashed(now) {
+	if s.knowsAllFlows || now.Sub(s.started) > s.idleTimeout+probeSlack || s.upstreamCrashed(now) {
 		return LookupResultNotHeld
 	}
 	p, ok := s.probes[k]
--- a/flow/flow_check_test.go
+++ b/flow/flow_check_test.go
@@ -157,3 +157,21 @@
 		t.Error("not reported as ended though nothing listens EndGrace after the announcement")
 	}
 }
+
+// Flows may be idle for longer than the default. A sidecar that has run for a while goes on probing its
+// upstream until a flow that it has not seen would have been idle for too long.
+func TestIdleFlowIsProbedUntilTheTimeout(t *testing.T) {
+	for _, idle := range []time.Duration{time.Minute, 10 * time.Minute} {
+		now := time.Unix(1000, 0)
+		s := NewSidecar(NewHeartbeatMonitor(2*time.Second), testServiceName, idle, now)
+		s.RecordListening(true, now.Add(idle))
+		if got := querySidecar(s, testKey, 501, now.Add(idle)); got != LookupResultNeedsProbe {
+			t.Errorf("idle timeout %v: got %v within it, want %v", idle, got, LookupResultNeedsProbe)
+		}
+		late := now.Add(idle + probeSlack + 1)
+		s.RecordListening(true, late)
+		if got := querySidecar(s, testKey, 501, late); got != LookupResultNotHeld {
+			t.Errorf("idle timeout %v: got %v after it, want %v", idle, got, LookupResultNotHeld)
+		}
+	}
+}
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -15,9 +15,9 @@
 	closedFlowAge = 3 * time.Second
 	// probeInterval is the time between probes for a flow that the upstream does not answer.
 	probeInterval = 250 * time.Millisecond
-	// probePeriod is how long after its start a sidecar probes its upstream for flows that the
-	// sidecar has no record of.
-	probePeriod = 65 * time.Second
+	// probeSlack is how much longer than the idle timeout of flows a sidecar probes its upstream, after
+	// its start, for flows that it has no record of.
+	probeSlack = 5 * time.Second
 	// crashedAfter is the time without a heartbeat or data from the upstream after which it counts
 	// as crashed.
 	crashedAfter = 4 * time.Second
