An announced end does not outlast the upstream's next heartbeat

What callers could see: an end that another sender announces keeps a living upstream from getting new flows for good.

Cause: nothing but another incarnation cleared HeartbeatMonitor.ending.

Change: a later heartbeat of the upstream clears it. An upstream that had been leaving goes on leaving.

Found by reading; not seen in a run.

--- a/flow/flow_check_test.go
+++ b/flow/flow_check_test.go
@@ -158,6 +158,28 @@
 	}
 }
 
+// The end of an upstream is announced by another sender. Once the upstream goes on sending heartbeats, it
+// gets new flows again. One that had been leaving gets none.
+func TestAnnouncedEndOfARunningUpstream(t *testing.T) {
+	for _, tt := range []struct{ before, want State }{{StateReady, StateReady}, {StateLeaving, StateLeaving}} {
+		s, now := testSidecar(t, time.Second)
+		hb := s.monitor.Last()
+		hb.Sequence++
+		hb.State = tt.before
+		sendHeartbeat(t, s, hb, now)
+		s.End("i-1", now)
+		if got := s.State(now); got != StateLeaving {
+			t.Errorf("%v before: got %v after the announcement, want %v", tt.before, got, StateLeaving)
+		}
+		hb.Sequence++
+		hb.State = StateReady
+		sendHeartbeat(t, s, hb, now.Add(time.Second))
+		if got := s.State(now.Add(time.Second)); got != tt.want {
+			t.Errorf("%v before: got %v after the next heartbeat, want %v", tt.before, got, tt.want)
+		}
+	}
+}
+
 // Flows may be idle for longer than the default. A sidecar that has run for a while goes on probing its
 // upstream until a flow that it has not seen would have been idle for too long.
 func TestIdleFlowIsProbedUntilTheTimeout(t *testing.T) {
--- a/flow/heartbeat_monitor.go
+++ b/flow/heartbeat_monitor.go
@@ -68,7 +68,7 @@
 	// none. claimedAt is when the first heartbeat of the claim's incarnation arrived.
 	claim     Heartbeat
 	claimedAt time.Time
-	// ending is set once the upstream has announced its end.
+	// ending is set once the upstream has announced its end, until its next heartbeat.
 	ending bool
 	// unansweredOpenings is the number of opening packets in a row that the upstream did not
 	// answer.
@@ -109,10 +109,10 @@
 	m.receivedAt = now
 	m.claim = Heartbeat{}
 	m.unansweredOpenings = 0
+	m.ending = false
 	if same {
 		return HeartbeatAccepted
 	}
-	m.ending = false
 	return HeartbeatStarted
 }
 
