A member whose upstream has returned a packet is not probed again

What callers could see: silence until their lookup times out. A member had denied a flow, was sent another packet ahead of the next query, and if the second denial was lost, its later answers were ignored as outdated, so the lookup stayed uncertain.

Evidence: TestMemberIsNotProbedTwice failed before and passes.

--- a/flow/relayed_probes.go
+++ b/flow/relayed_probes.go
@@ -31,13 +31,15 @@
 }
 
 // probe sends the packets of a lookup to a member, or has one of them relayed to it: the member is to
-// probe its upstream. A member that has just got them is not sent them again.
+// probe its upstream. A member that has just got them, or whose upstream has returned one, is not sent
+// them again.
 func (b *Balancer) probe(l *lookup, addr netip.AddrPort, unranked bool, out *LookupActions, now time.Time) {
 	budget := b.probes
 	if unranked {
 		budget = b.unrankedProbes
 	}
 	switch {
+	case l.notHeld[addr]:
 	case now.Sub(l.uncertain[addr]) < firstRetryInterval, now.Sub(l.relayed.sent[addr]) < firstRetryInterval:
 	case unranked && len(b.members) > broadcastOnlyMembers:
 		l.relayed.add(addr, now)
--- a/flow/relayed_probes_test.go
+++ b/flow/relayed_probes_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// A member's upstream has returned a packet before the member is queried together with all others. It is
+// not probed again, so the lookup does not wait for a second answer that may be lost.
+func TestMemberIsNotProbedTwice(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := testBalancer(3, now)
+	now = now.Add(settledAfter + time.Millisecond)
+	for _, m := range b.members {
+		m.needsProbes = true
+	}
+	startProbedLookups(b, 1, now)
+	for addr := range b.members {
+		b.HandleNotDelivered(keyOf(0), addr, true, now)
+	}
+	out := runLookups(b, now, 100*time.Millisecond, needsProbe)
+	if len(out.Packets) != 0 || len(out.Lost) != 1 {
+		t.Errorf("got %d packets and %d lost flows, want none and 1", len(out.Packets), len(out.Lost))
+	}
+}
+
 // A flow that a member may hold is not given up while the upstream has not returned its packet.
 func TestUnansweredProbeEndsNoFlow(t *testing.T) {
 	now := time.Unix(100, 0)
