Test: idle callers of an upstream that is replaced at once are reset

Since a heartbeat of another incarnation ends no flow by itself any more, this shows that callers who send nothing are still told: by the check of all flows.

--- a/standin/flowtest/caller.go
+++ b/standin/flowtest/caller.go
@@ -188,6 +188,17 @@
 	return "", ctx.Err()
 }
 
+// AwaitReset reports whether the flow is reset before ctx is done, without a packet from the caller.
+func (f *Flow) AwaitReset(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		_, err := f.receive(ctx, retransmitInterval, func(*flow.Packet) bool { return false })
+		if errors.Is(err, ErrReset) {
+			return true
+		}
+	}
+	return false
+}
+
 // receive returns the next packet that match accepts and discards the others. It returns ErrReset
 // for a reset, and a context error if no packet is accepted within wait.
 func (f *Flow) receive(ctx context.Context, wait time.Duration, match func(*flow.Packet) bool) (receivedPacket, error) {
--- a/standin/flowtest/flows_test.go
+++ b/standin/flowtest/flows_test.go
@@ -365,6 +365,24 @@
 	}
 }
 
+// An upstream is replaced at once, so that no check finds it absent. The callers of its idle flows are
+// reset all the same, without sending a packet.
+func TestIdleCallersOfReplacedUpstream(t *testing.T) {
+	s := newSite(t)
+	flows := s.openFlows(12)
+	s.requestOnAll(flows, "at the start")
+	s.stopUpstream[0]()
+	replaced := s.upstreams[0]
+	s.startUpstream(0, "i-new")
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	for _, f := range flows {
+		if replaced.Holds(f.Key()) && !f.AwaitReset(ctx) {
+			t.Errorf("the caller of %v was not reset within a second", f.Key())
+		}
+	}
+}
+
 // A heartbeat of another sender, with any start time, ends no flow of an upstream that runs, and does
 // not keep it from getting new flows: issue 27, review/2.
 func TestHeartbeatOfAnotherSender(t *testing.T) {
