--- a/flow/heartbeat_monitor.go
+++ b/flow/heartbeat_monitor.go
@@ -80,7 +80,7 @@
 const unansweredOpeningLimit = 2
 
 // claimPeriod is how long an incarnation has to send heartbeats until it replaces one that has sent
-// none meanwhile. It is longer than late heartbeats take to arrive together.
+// none meanwhile. Late heartbeats of a former incarnation arrive at once and do not go on that long.
 const claimPeriod = time.Second
 
 // NewHeartbeatMonitor returns a monitor that has received no heartbeat. An upstream is not ready if
@@ -141,7 +141,7 @@
 }
 
 // State returns whether the upstream accepts new flows. While it is not known which of two
-// incarnations runs, it does only if both say so and are of the same service.
+// incarnations runs, it accepts them only if neither is leaving and both are of the same service.
 func (m *HeartbeatMonitor) State(now time.Time) State {
 	switch {
 	case m.receivedAt.IsZero():
--- a/flow/relays.go
+++ b/flow/relays.go
@@ -8,10 +8,9 @@
 	"time"
 )
 
-// relayGroups groups members by failure domain. The first member of each group relays the query to
-// the others. turn selects it, so that each query and each retry has another one: a relay may have
-// crashed, and its part of the work is that of all others. Members that are silent are not selected
-// while others are not.
+// relayGroups groups members by failure domain. The first member of each group relays the message to
+// the others. turn selects it, so that each query and each retry has another relay: one may have
+// crashed, and relaying is work that members share. A silent member is selected only if all are.
 func (b *Balancer) relayGroups(to []netip.AddrPort, turn uint32, now time.Time) [][]netip.AddrPort {
 	domains := map[uint32][]netip.AddrPort{}
 	for _, addr := range to {
