--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -241,7 +241,7 @@
 
 // The store came back from an older copy that lacks a sidecar, which is down for the moment. All others
 // register in the new era, but the list does not count as complete while a running process may be
-// missing: KNOWN-RED, soak seed 4110.
+// missing: soak seed 4110, docs/incidents/restored-store.md.
 func TestRestoredListCountsAsComplete(t *testing.T) {
 	t.Parallel()
 	reg, s := newRegistry(t)
