Messages: room of a warming upstream, its work in time, a warm-up rate

Cause: reports count requests and flows, so a balancer can't tell a request of 100 ms from one of 5 ms, nor how many new flows an upstream that warms up still takes. Change: fields of the report and of a packet's path, not used yet; the magic byte is new, since the layouts are. Measured: go test ./peer ./flow passes; no other behaviour changes.

--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -105,6 +105,9 @@
 	Tag Tag
 	// Policy applies to the flow's requests.
 	Policy RequestPolicy
+	// WarmupRate is the number of new flows a second that an upstream of the service takes while it
+	// warms up; 0 if it is not limited.
+	WarmupRate uint16
 	// Confirm asks the receiver to notify the balancer if it holds the flow.
 	Confirm bool
 	// Fallbacks are the sidecars to try after To with an opening packet, in order. The first
--- a/flow/configuration.go
+++ b/flow/configuration.go
@@ -20,6 +20,9 @@
 	Service string
 	Tag     Tag
 	Weight  uint32
+	// WarmupRate is the number of new flows a second that an upstream takes while it warms up; 0 if it
+	// is not limited.
+	WarmupRate uint16
 }
 
 // Route gives the services that get the new flows to one address, and the policy for the requests
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -52,7 +52,7 @@
 const (
 	// magic is the first byte of each datagram. It changes with the layout of the messages, so that
 	// processes of another version reject them instead of misreading them.
-	magic = 0xd9
+	magic = 0xda
 	// flagOffered and flagConfirm are the flags of a KindPacket: those of flow.TunnelPacket.Offered
 	// and flow.Path.Confirm.
 	flagOffered = 1
@@ -64,10 +64,11 @@
 	// commonSize is the length of the magic and the kind. All sizes are in bytes.
 	commonSize  = 2
 	addressSize = 6
-	// pathSize is the length of hop, fallback count, flags, tag, request policy and origin.
-	pathSize   = 3 + 4 + policySize + addressSize
+	// pathSize is the length of hop, fallback count, flags, tag, request policy, warm-up rate and
+	// origin.
+	pathSize   = 3 + 4 + policySize + 2 + addressSize
 	policySize = 1 + 2 + 2
-	loadSize   = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2
+	loadSize   = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2 + 2 + 4 + 2
 	// balancersSize is the length of a KindBalancers body without its infos.
 	balancersSize = 8 + 4
 	// MaxHead is the largest length of the header that AppendPacket appends.
@@ -122,6 +123,7 @@
 	b = append(b, p.Policy.Priority)
 	b = binary.BigEndian.AppendUint16(b, milliseconds(p.Policy.LatencyTarget))
 	b = binary.BigEndian.AppendUint16(b, milliseconds(p.Policy.Timeout))
+	b = binary.BigEndian.AppendUint16(b, p.WarmupRate)
 	b = appendAddr(b, origin)
 	for i := range p.FallbackCount {
 		b = appendAddr(b, p.Fallbacks[i])
@@ -153,7 +155,8 @@
 		LatencyTarget: time.Duration(binary.BigEndian.Uint16(b[8:])) * time.Millisecond,
 		Timeout:       time.Duration(binary.BigEndian.Uint16(b[10:])) * time.Millisecond,
 	}
-	p.Origin = parseAddr(b[12:])
+	p.Path.WarmupRate = binary.BigEndian.Uint16(b[12:])
+	p.Origin = parseAddr(b[14:])
 	p.Path.FallbackCount = n
 	rest := b[pathSize:]
 	for i := range n {
@@ -178,6 +181,9 @@
 	b = binary.BigEndian.AppendUint16(b, l.Busy)
 	b = binary.BigEndian.AppendUint16(b, l.Flows)
 	b = binary.BigEndian.AppendUint32(b, uint32(l.WarmupLeft/time.Millisecond))
+	b = binary.BigEndian.AppendUint16(b, l.WarmupRoom)
+	b = binary.BigEndian.AppendUint32(b, uint32(max(0, min(l.Work/time.Millisecond, math.MaxUint32))))
+	b = binary.BigEndian.AppendUint16(b, milliseconds(l.ServiceTime))
 	return binary.BigEndian.AppendUint16(b, milliseconds(l.Interval))
 }
 
@@ -197,7 +203,10 @@
 		Busy:          binary.BigEndian.Uint16(b[23:]),
 		Flows:         binary.BigEndian.Uint16(b[25:]),
 		WarmupLeft:    time.Duration(binary.BigEndian.Uint32(b[27:])) * time.Millisecond,
-		Interval:      time.Duration(binary.BigEndian.Uint16(b[31:])) * time.Millisecond,
+		WarmupRoom:    binary.BigEndian.Uint16(b[31:]),
+		Work:          time.Duration(binary.BigEndian.Uint32(b[33:])) * time.Millisecond,
+		ServiceTime:   time.Duration(binary.BigEndian.Uint16(b[37:])) * time.Millisecond,
+		Interval:      time.Duration(binary.BigEndian.Uint16(b[39:])) * time.Millisecond,
 	}, nil
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -31,7 +31,7 @@
 
 func TestPacket(t *testing.T) {
 	path := flow.Path{
-		Tag: 7, Confirm: true, FallbackCount: 2, Fallbacks: [flow.RankingDepth]netip.AddrPort{addr1, addr2},
+		Tag: 7, WarmupRate: 12, Confirm: true, FallbackCount: 2, Fallbacks: [flow.RankingDepth]netip.AddrPort{addr1, addr2},
 		Policy: flow.RequestPolicy{Priority: 2, LatencyTarget: 120 * time.Millisecond, Timeout: time.Second},
 	}
 	b := append(peer.AppendPacket(nil, &path, 1, addr1, true), "packet"...)
@@ -50,6 +50,7 @@
 	want := flow.Load{
 		Incarnation: 1 << 60, Sequence: 9, Tag: 7, DomainID: 5, State: flow.StateLeaving, UpstreamEnded: true,
 		Slots: 2, Busy: 3, Flows: 400, WarmupLeft: 1500 * time.Millisecond,
+		WarmupRoom: 11, Work: 70 * time.Second, ServiceTime: 35 * time.Millisecond, Interval: 250 * time.Millisecond,
 	}
 	got, err := peer.ParseLoad(body(t, peer.AppendLoad(nil, &want), peer.KindLoad))
 	if err != nil || got != want {
