--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// maxReserve is the part of the wait that is kept in reserve, once requests have been refused for as
+// long as a whole timeout. Without it, an estimate that is a little low admits requests that fail at
+// their deadline, and the slots have enough other work.
+const maxReserve = 0.25
+
 // Decision is a decision about a new request.
 type Decision uint8
 
@@ -60,13 +65,11 @@
 	timeout := timeoutOf(o.Timeout)
 	cost := min(o.Cost, timeout/2)
 	free := float64(max(1, slots)) * (1 - a.rates.higherShare(level, slots, now))
-	latency := func(work time.Duration) time.Duration {
-		return o.Waited + time.Duration(float64(work)/free) + cost
-	}
+	latency := func(work float64) time.Duration { return o.Waited + time.Duration(work/free) + cost }
 	lost, t := &a.lost[level], now.Sub(a.epoch)
-	late := o.LatencyTarget > 0 && latency(soon) > o.LatencyTarget
+	late := o.LatencyTarget > 0 && latency(float64(soon)) > o.LatencyTarget
 	switch {
-	case latency(all) > timeout:
+	case latency(float64(all)*(1+maxReserve*lost.part(t, timeout))) > timeout:
 		lost.record(t, timeout)
 		return Refuse
 	case late && a.RefuseLate && lost.lasting(t):
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -9,15 +9,11 @@
 	Levels = 4
 	// DefaultTimeout is the timeout of requests that have none.
 	DefaultTimeout = 5 * time.Second
-	// lossGap is the time without a lost request after which a period of losses is over.
-	lossGap = time.Second
-	// capacityInterval is the time between updates of the capacities.
-	capacityInterval = 100 * time.Millisecond
 	// epochAge is the age at which an empty queue's epoch is replaced.
 	epochAge = time.Hour
-	// marginShare is the divisor that yields, from the late work, the slot time by which late requests
-	// go before they have to, since expected costs are uncertain.
-	marginShare = 8
+	// marginShare is the part of the late work by which late requests go before they have to, since
+	// expected costs are uncertain.
+	marginShare = 0.125
 )
 
 // Request is a request that waits for an upstream.
@@ -56,14 +52,6 @@
 	lateAt, start time.Duration
 }
 
-// losses is a period in which requests are lost without a gap of lossGap.
-type losses struct {
-	any         bool
-	first, last time.Duration
-	// timeout is that of the last lost request.
-	timeout time.Duration
-}
-
 // Queue orders the requests that wait for an upstream. It is made for overload: a burst that lasts a
 // few seconds, or the arrears of a standstill, which return at once.
 //
@@ -75,10 +63,14 @@
 // long as a whole timeout, the overload isn't a burst; then late requests no longer make others late.
 //
 // Requests that can't be answered before their deadline any more are dropped. All operations take
-// logarithmic time, but for a Pop each capacityInterval.
+// logarithmic time, except for the first Pop with another number of slots.
 //
 // The zero value is an empty queue. It is not safe for concurrent use.
 type Queue[K comparable, P any] struct {
+	// Admitted means that Admission decides which requests come, which bounds their work. Then late
+	// requests go before others also in an overload that lasts.
+	Admitted bool
+
 	items []item[K, P]
 	free  []int32
 	index map[K]int32
@@ -93,9 +85,7 @@
 	lost    [Levels]losses
 	work    [Levels]time.Duration
 	rates   rates
-	// slots is the number of slots, and capacitySet when the capacities of late were last updated.
-	slots       int
-	capacitySet time.Time
+	slots   int
 	// onTimeWork is the part of work that is in onTime.
 	onTimeWork [Levels]time.Duration
 }
@@ -116,18 +106,23 @@
 func (q *Queue[K, P]) WorkByLevel() [Levels]time.Duration { return q.work }
 
 // Ahead returns the work before a new request of a priority, in slot time: other, which is not in
-// the queue, with what the queue serves first. soon is what goes first if the request can meet its
-// latency target, and all if it can only meet its deadline.
-func (q *Queue[K, P]) Ahead(priority uint8, other time.Duration, now time.Time) (soon, all time.Duration) {
+// the queue, with what the queue serves first by an upstream with a number of slots. soon is what
+// goes first if the request can meet its latency target, and all if it can only meet its deadline.
+func (q *Queue[K, P]) Ahead(priority uint8, other time.Duration, slots int, now time.Time) (soon, all time.Duration) {
+	if len(q.index) == 0 {
+		return other, other
+	}
 	level := levelOf(priority)
-	for l := range q.work[:level+1] {
-		soon += q.onTimeWork[l]
-		all += q.work[l]
+	soon = other
+	for _, w := range q.onTimeWork[:level+1] {
+		soon += w
 	}
-	if len(q.index) > 0 && q.urgent(level, (soon+other)/time.Duration(q.slots), now.Sub(q.epoch)) != none {
+	all = soon + q.late[level].work()
+	q.setSlots(max(1, slots))
+	if q.urgent(level, soon, now) != none {
 		soon = all
 	}
-	return soon + other, all + other
+	return soon, all
 }
 
 // Payload returns the payload of a queued request, or nil. It is valid until the next call of a
@@ -171,10 +166,10 @@
 		q.index = map[K]int32{}
 		q.slots = 1
 		for l := range q.late {
-			q.late[l] = tree{root: none, capacity: capacityUnit, seed: 2463534242}
+			q.late[l] = tree{root: none, slots: 1, seed: 2463534242}
 		}
 	}
-	// The times of a tree, multiplied by its capacity, must not overflow.
+	// The times of a tree, multiplied by the slots, must not overflow.
 	if now.Sub(q.epoch) > epochAge {
 		q.epoch = now
 		q.lost = [Levels]losses{}
@@ -227,9 +222,9 @@
 	}
 	t := now.Sub(q.epoch)
 	q.Expire(now, dropped)
-	q.setSlots(max(1, slots), now)
+	q.setSlots(max(1, slots))
 	q.giveUp(t)
-	i := q.next(t)
+	i := q.next(now)
 	if i == none {
 		return Request[K, P]{}, false
 	}
@@ -285,25 +280,19 @@
 	}
 }
 
-// setSlots updates the capacities for late requests: what is left when the work of higher priorities
-// goes on arriving as it did lately.
-func (q *Queue[K, P]) setSlots(slots int, now time.Time) {
-	if slots == q.slots && now.Sub(q.capacitySet) < capacityInterval {
-		return
-	}
-	q.slots, q.capacitySet = slots, now
+// setSlots updates the number of slots.
+func (q *Queue[K, P]) setSlots(slots int) {
+	q.slots = slots
 	for l := range q.late {
-		free := float64(slots) * (1 - q.rates.higherShare(uint8(l), slots, now))
-		q.late[l].setCapacity(time.Duration(max(1, free*capacityUnit)))
+		q.late[l].setSlots(time.Duration(slots))
 	}
 }
 
-// giveUp gives up late requests until the slots suffice for the others. Work of a level that has
-// not arrived yet is no reason to give up requests of the same level.
+// giveUp gives up late requests until the slots suffice for the others.
 func (q *Queue[K, P]) giveUp(now time.Duration) {
 	for l := range q.late {
 		t := &q.late[l]
-		for i := t.victim(now); i != none && int(q.items[i].level) == l; i = t.victim(now) {
+		for i := t.victim(now); i != none; i = t.victim(now) {
 			q.recordLoss(i, now)
 			q.removeLate(i)
 			q.items[i].place = placeGivenUp
@@ -318,27 +307,15 @@
 	q.lost[it.level].record(now, timeoutOf(it.req.Timeout))
 }
 
-// record records that a request with a timeout is lost.
-func (l *losses) record(now, timeout time.Duration) {
-	if !l.any || now-l.last > lossGap {
-		l.first = now
-	}
-	l.any, l.last, l.timeout = true, now, timeout
-}
-
-// lasting reports whether requests have been lost for as long as a whole timeout.
-func (l *losses) lasting(now time.Duration) bool {
-	return l.any && now-l.last <= lossGap && now-l.first > l.timeout
-}
-
 // next returns the request to be served next, or none.
-func (q *Queue[K, P]) next(now time.Duration) int32 {
+func (q *Queue[K, P]) next(now time.Time) int32 {
 	for l := range q.onTime {
 		if len(q.onTime[l].entries) == 0 {
 			continue
 		}
 		first, _ := q.onTime[l].first()
-		if i := q.urgent(uint8(l), q.items[first].cost, now); i != none {
+		// Another request may have just begun in each slot, and the late one may take twice as long.
+		if i := q.urgent(uint8(l), 2*q.items[first].cost*time.Duration(q.slots), now); i != none {
 			return i
 		}
 		return first
@@ -353,12 +330,19 @@
 	return none
 }
 
-// urgent returns the late request of a level or a higher one that has to go before work, or none.
-func (q *Queue[K, P]) urgent(level uint8, work, now time.Duration) int32 {
+// urgent returns the late request of a level or a higher one that has to go before other work, in
+// slot time, or none.
+func (q *Queue[K, P]) urgent(level uint8, other time.Duration, now time.Time) int32 {
+	t := now.Sub(q.epoch)
 	for l := range q.late[:level+1] {
-		t := &q.late[l]
-		if t.root != none && !q.lost[l].lasting(now) && t.spare(now) < work*time.Duration(q.slots) {
-			return t.first()
+		late := &q.late[l]
+		if late.root == none || !q.Admitted && q.lost[l].lasting(t) {
+			continue
+		}
+		higher := q.rates.higherShare(uint8(l), q.slots, now)
+		margin := time.Duration(float64(late.work()) * (marginShare + higher/(1-higher)))
+		if late.slack(t) < margin+other {
+			return late.first()
 		}
 	}
 	return none
--- a/schedule/replay_test.go
+++ b/schedule/replay_test.go
@@ -39,8 +39,8 @@
 }
 
 // calls draws the calls of a sequence of loads until a time.
-func calls(loads []load, until time.Duration) []call {
-	rng := rand.New(rand.NewPCG(5, 6))
+func calls(seed uint64, loads []load, until time.Duration) []call {
+	rng := rand.New(rand.NewPCG(5, seed))
 	var out []call
 	for k := range kinds {
 		for i, l := range loads {
@@ -123,7 +123,7 @@
 func (s *scheduled) open(i int, c *call, running time.Duration, now time.Time) bool {
 	k := kinds[c.kind]
 	s.commitments.Expire(now)
-	soon, all := s.queue.Ahead(k.priority, running+s.commitments.Ahead(k.priority), now)
+	soon, all := s.queue.Ahead(k.priority, running+s.commitments.Ahead(k.priority), replaySlots, now)
 	o := Opening{Priority: k.priority, LatencyTarget: k.target, Timeout: deadline, Cost: meanCost, Waited: now.Sub(epoch) - c.begun}
 	if s.admit && s.admission.Decide(o, soon, all, replaySlots, now) >= Refuse {
 		return false
@@ -220,12 +220,15 @@
 
 // compare replays calls with each policy, and logs the outcomes.
 func compare(t *testing.T, all []call, resume time.Duration) results {
+	admitting := func(refuseLate bool) *scheduled {
+		return &scheduled{admit: true, queue: Queue[int, struct{}]{Admitted: true}, admission: Admission{RefuseLate: refuseLate}}
+	}
 	r := results{
 		byArrival:   replay(all, &fixed{calls: all}, resume),
 		onTimeFirst: replay(all, &fixed{calls: all, targets: true}, resume),
 		queue:       replay(all, &scheduled{}, resume),
-		admission:   replay(all, &scheduled{admit: true}, resume),
-		refuseLate:  replay(all, &scheduled{admit: true, admission: Admission{RefuseLate: true}}, resume),
+		admission:   replay(all, admitting(false), resume),
+		refuseLate:  replay(all, admitting(true), resume),
 	}
 	table := fmt.Sprintf("%-16s %4s %6s %7s %5s %6s %7s\n", "policy", "kind", "calls", "in time", "late", "failed", "refused")
 	for _, row := range []struct {
@@ -246,13 +249,74 @@
 		failed: o[0].failed + o[1].failed, refused: o[0].refused + o[1].refused,
 	}
 }
-func TestDraft(t *testing.T) {
-	compare(t, calls([]load{{0, [2]float64{.32, .48}}, {2 * time.Second, [2]float64{.576, .864}}, {5 * time.Second, [2]float64{.32, .48}}}, 15*time.Second), 0)
-	all := calls([]load{{0, [2]float64{.32, .48}}}, 10*time.Second)
-	for i := range all {
-		all[i].opened = max(all[i].opened, 800*time.Millisecond)
+
+const second = time.Second
+
+// steady is 0.8 of what the slots can do.
+var steady = [2]float64{0.32, 0.48}
+
+// A burst of 1.8 times the load for 3 s makes arrears that the slots can do before the deadlines, so
+// nobody may fail, and no fewer may be in time than without an order.
+func TestBurst(t *testing.T) {
+	for seed := range uint64(3) {
+		all := calls(seed, []load{{0, steady}, {2 * second, [2]float64{0.576, 0.864}}, {5 * second, steady}}, 15*second)
+		r := compare(t, all, 0)
+		for _, o := range [][2]outcome{r.queue, r.admission, r.refuseLate} {
+			got := sum(o)
+			if got.failed > 0 || got.refused > got.calls/200 || got.inTime < sum(r.byArrival).inTime || o[0].inTime < o[0].calls {
+				t.Errorf("seed %d: got %+v, want no failures, all of the first kind in time, and as many as by arrival", seed, o)
+			}
+		}
+	}
+}
+
+// After a standstill of 0.8 s, all callers return at once. Nobody may fail.
+func TestStandstill(t *testing.T) {
+	for seed := range uint64(3) {
+		const resume = 800 * time.Millisecond
+		all := calls(seed, []load{{0, steady}}, 10*second)
+		for i := range all {
+			all[i].opened = max(all[i].opened, resume)
+		}
+		r := compare(t, all, resume)
+		for _, o := range [][2]outcome{r.queue, r.admission, r.refuseLate} {
+			if got := sum(o); got.failed+got.refused > 0 || got.inTime <= sum(r.byArrival).inTime {
+				t.Errorf("seed %d: got %+v, want no failures, and more in time than by arrival", seed, o)
+			}
+		}
+	}
+}
+
+// In an overload of 1.5 times the slots that lasts, a third of the calls can't be answered. Those are
+// of the lower priority, and nearly all are told at once. RefuseLate keeps most of the others in time.
+func TestLastingOverload(t *testing.T) {
+	for seed := range uint64(3) {
+		r := compare(t, calls(seed, []load{{0, [2]float64{0.6, 0.9}}}, 30*second), 0)
+		if got, by := sum(r.admission), sum(r.byArrival); got.inTime+got.late < by.inTime+by.late {
+			t.Errorf("seed %d: got %+v, want as many answered as by arrival", seed, got)
+		}
+		for _, o := range [][2]outcome{r.admission, r.refuseLate} {
+			got := sum(o)
+			if o[0].inTime < o[0].calls*99/100 || got.failed > got.calls*5/100 || got.toldLate > 0 {
+				t.Errorf("seed %d: got %+v, want the first kind in time, and at most 5%% failed", seed, o)
+			}
+		}
+		if o := r.refuseLate[1]; o.inTime < (o.inTime+o.late)/2 {
+			t.Errorf("seed %d: got %+v, want most of those answered in time", seed, o)
+		}
+	}
+}
+
+// A burst of a kind with the lower priority, beside a steady one that matters more, leaves that one
+// in time. Those of the burst that can't be answered are told at once.
+func TestBurstOfOneKind(t *testing.T) {
+	for seed := range uint64(3) {
+		loads := []load{{0, [2]float64{0.4, 0.2}}, {2 * second, [2]float64{0.4, 2}}, {8 * second, [2]float64{0.4, 0.2}}}
+		r := compare(t, calls(seed, loads, 20*second), 0)
+		for _, o := range [][2]outcome{r.admission, r.refuseLate} {
+			if o[0].failed+o[0].refused > 0 || o[0].inTime < o[0].calls*99/100 || o[1].failed > o[1].calls*5/100 || o[1].toldLate > 0 {
+				t.Errorf("seed %d: got %+v, want the first kind in time, and the others told at once", seed, o)
+			}
+		}
 	}
-	compare(t, all, 800*time.Millisecond)
-	compare(t, calls([]load{{0, [2]float64{.6, .9}}}, 30*time.Second), 0)
-	compare(t, calls([]load{{0, [2]float64{.4, .2}}, {2 * time.Second, [2]float64{.4, 2}}, {8 * time.Second, [2]float64{.4, .2}}}, 20*time.Second), 0)
 }
--- a/schedule/tree.go
+++ b/schedule/tree.go
@@ -2,12 +2,8 @@
 
 import "time"
 
-const (
-	// none is the index of no request.
-	none = -1
-	// capacityUnit is the number of parts into which a slot is divided in a tree's capacity.
-	capacityUnit = 16
-)
+// none is the index of no request.
+const none = -1
 
 // tree holds late requests by the latest time at which they have to start. It answers in logarithmic
 // time whether all of them can start in time if they are served in this order. It is a treap whose
@@ -15,9 +11,9 @@
 type tree struct {
 	nodes []node
 	root  int32
-	// capacity is the number of slots that serve the requests, in parts of capacityUnit.
-	capacity time.Duration
-	seed     uint32
+	// slots is the number of slots that serve the requests.
+	slots time.Duration
+	seed  uint32
 }
 
 // node is a request in a tree, with sums over the requests below it.
@@ -28,8 +24,7 @@
 	start, cost time.Duration
 	// work is the sum of the costs.
 	work time.Duration
-	// slack is the least of the slot time until start less the costs of the requests before, in parts
-	// of capacityUnit.
+	// slack is the least of start*slots less the costs of the requests before, in slot time.
 	slack time.Duration
 	// cheapest is the request that is given up first: that of the lowest priority, then the highest
 	// cost.
@@ -118,17 +113,17 @@
 func (t *tree) update(i int32) {
 	n := &t.nodes[i]
 	n.work, n.cheapest = 0, i
-	n.slack = n.start * t.capacity
+	n.slack = n.start * t.slots
 	if n.left != none {
 		l := &t.nodes[n.left]
 		n.work = l.work
-		n.slack = min(l.slack, n.slack-l.work*capacityUnit)
+		n.slack = min(l.slack, n.slack-l.work)
 		n.cheapest = t.cheaper(n.cheapest, l.cheapest)
 	}
 	n.work += n.cost
 	if n.right != none {
 		r := &t.nodes[n.right]
-		n.slack = min(n.slack, r.slack-n.work*capacityUnit)
+		n.slack = min(n.slack, r.slack-n.work)
 		n.work += r.work
 		n.cheapest = t.cheaper(n.cheapest, r.cheapest)
 	}
@@ -156,10 +151,10 @@
 	return b
 }
 
-// setCapacity changes the capacity. It visits all requests.
-func (t *tree) setCapacity(capacity time.Duration) {
-	if t.capacity != capacity {
-		t.capacity = capacity
+// setSlots changes the number of slots. It visits all requests if that is another number.
+func (t *tree) setSlots(slots time.Duration) {
+	if t.slots != slots {
+		t.slots = slots
 		t.updateAll(t.root)
 	}
 }
@@ -193,21 +188,18 @@
 // slack returns for how much slot time all slots can do other work from now, such that all requests
 // still start in time. It is negative if they can't. The tree must not be empty.
 func (t *tree) slack(now time.Duration) time.Duration {
-	return (t.nodes[t.root].slack - now*t.capacity) / capacityUnit
+	return t.nodes[t.root].slack - now*t.slots
 }
 
-// spare returns the slot time of slack, less a margin. The tree must not be empty.
-func (t *tree) spare(now time.Duration) time.Duration { return t.slack(now) - t.work()/marginShare }
-
 // victim returns the request to be given up so that the first of the requests that can't start in
 // time can; none if all can. Among the requests up to that one, it is of the lowest priority and,
 // among these, of the highest cost, as in the algorithm of Moore and Hodgson, which gives up the
 // fewest requests.
 func (t *tree) victim(now time.Duration) int32 {
-	if t.root == none || t.nodes[t.root].slack >= now*t.capacity {
+	if t.root == none || t.nodes[t.root].slack >= now*t.slots {
 		return none
 	}
-	limit := now * t.capacity
+	limit := now * t.slots
 	best := int32(none)
 	var ahead time.Duration
 	i := t.root
@@ -219,14 +211,14 @@
 				i = n.left
 				continue
 			}
-			ahead += l.work * capacityUnit
+			ahead += l.work
 			best = t.cheaper(best, l.cheapest)
 		}
 		best = t.cheaper(best, i)
-		if n.start*t.capacity-ahead < limit {
+		if n.start*t.slots-ahead < limit {
 			return best
 		}
-		ahead += n.cost * capacityUnit
+		ahead += n.cost
 		i = n.right
 	}
 	return best
