flow: order queued requests by schedule.Queue, report work

Change: Queue keeps the packets, schedule.Queue the order. Requests that can't be answered in the time left are dropped, counted and logged. Load.Work has running, queued and committed work.

--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -54,9 +54,10 @@
 	if !f.queued && (s.busy < s.requestLimit() || s.monitor.Last().Slots == 0) && s.queue.Len() == 0 {
 		return false
 	}
-	if !s.queue.add(&tp.Packet, tp.Raw, f.policy, openingAge(f.retransmissions), now) {
+	if !s.queue.add(&tp.Packet, tp.Raw, f.policy, openingAge(f.retransmissions), s.serviceTime, now) {
 		return f.queued
 	}
+	s.commitments.Remove(tp.Packet.Key)
 	f.queued = true
 	f.retransmissions = 0
 	f.advance(&tp.Packet)
@@ -96,18 +97,18 @@
 func (s *Sidecar) ReleaseQueued(now time.Time, deliver func(raw []byte)) {
 	// A sidecar that is stopping releases all requests.
 	for s.leaving || s.busy < s.requestLimit() {
-		req := s.queue.pop(now, s.serviceTime)
-		if req == nil {
+		req, ok := s.queue.pop(now, s.monitor.Last().Slots)
+		if !ok {
 			return
 		}
-		f, ok := s.flows[req.key]
+		f, ok := s.flows[req.Key]
 		if !ok || !f.queued {
 			continue
 		}
 		f.queued = false
-		s.observe(LatencyWait, now.Sub(req.arrived))
+		s.observe(LatencyWait, now.Sub(req.Arrived))
 		s.beginRequest(f, now)
-		for _, p := range req.packets {
+		for _, p := range req.Payload {
 			deliver(p.raw)
 			f.recordDelivered(p.raw)
 		}
@@ -137,6 +138,7 @@
 func (s *Sidecar) trackCallerPacket(f *flowState, p *Packet, now time.Time) {
 	f.lastUsed = now
 	if p.Length > 0 && !f.awaitingAnswer && f.ended == 0 && !f.isRetransmission(p) {
+		s.commitments.Remove(p.Key)
 		s.beginRequest(f, now)
 	}
 	f.advance(p)
@@ -215,6 +217,7 @@
 		retransmissions: tp.Packet.Retransmissions(), policy: tp.Path.Policy,
 	}
 	s.pendingOpenings++
+	s.commitments.Add(tp.Packet.Key, tp.Path.Policy.Priority, s.serviceTime, now)
 	return SidecarVerdict{Action: ActionUpstream, Reason: ReasonPlaced}
 }
 
--- a/flow/queue.go
+++ b/flow/queue.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"greengagedyke/schedule"
 )
 
 // RequestPolicy is a route's policy for the requests in its flows.
@@ -21,115 +23,77 @@
 	// packetLimit bounds the packets of one queued request.
 	packetLimit = 16
 	// defaultTimeout is the timeout of requests whose policy has none.
-	defaultTimeout = 5 * time.Second
+	defaultTimeout = schedule.DefaultTimeout
 )
 
-// queuedRequest is a request that waits for the upstream to have capacity.
-type queuedRequest struct {
-	key    Key
-	policy RequestPolicy
-	// arrived is when the caller began to wait.
-	arrived time.Time
-	packets []bufferedPacket
-}
-
 // bufferedPacket is a copy of a packet that is to be sent later.
 type bufferedPacket struct {
 	sequence uint32
 	raw      []byte
 }
 
-// late reports whether an answer that takes serviceTime from now misses the latency target.
-func (req *queuedRequest) late(now time.Time, serviceTime time.Duration) bool {
-	return req.policy.LatencyTarget > 0 && now.Sub(req.arrived)+serviceTime > req.policy.LatencyTarget
-}
-
-// expired reports whether the caller has given up.
-func (req *queuedRequest) expired(now time.Time) bool {
-	timeout := req.policy.Timeout
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
-	return now.Sub(req.arrived) > timeout
-}
-
-// Queue orders the requests that wait for an upstream. It is made for overload, when callers of
-// another failure domain arrive at once or all callers return after an outage. Requests that can
-// still meet their latency target go first, by priority and then age. The others follow when none
-// of these is left. Requests whose caller has given up are dropped.
+// Queue holds the packets of the requests that wait for an upstream. schedule.Queue orders them.
 type Queue struct {
-	requests []*queuedRequest
+	requests schedule.Queue[Key, []bufferedPacket]
+	// dropped is the number of requests that were dropped, since they could not be answered any more
+	// before their callers give up.
+	dropped uint64
 }
 
+// queuedRequest is a request that has left the queue.
+type queuedRequest = schedule.Request[Key, []bufferedPacket]
+
 // Len returns the number of queued requests.
-func (q *Queue) Len() int { return len(q.requests) }
+func (q *Queue) Len() int { return q.requests.Len() }
 
-// find returns the queued request of a flow, or nil.
-func (q *Queue) find(k Key) *queuedRequest {
-	for _, req := range q.requests {
-		if req.key == k {
-			return req
-		}
-	}
-	return nil
-}
+// Work returns the sum of the times that the upstream is expected to need for the queued requests.
+func (q *Queue) Work() time.Duration { return q.requests.Work() }
 
-// add stores a packet of a request whose caller has waited for age already. It reports whether the
-// packet was stored; it is not if the queue has queueLimit requests or the request packetLimit
-// packets.
-func (q *Queue) add(p *Packet, raw []byte, policy RequestPolicy, age time.Duration, now time.Time) bool {
-	req := q.find(p.Key)
-	if req == nil {
-		if len(q.requests) >= queueLimit {
-			return false
-		}
-		req = &queuedRequest{key: p.Key, policy: policy, arrived: now.Add(-age)}
-		q.requests = append(q.requests, req)
+// add stores a packet of a request whose caller has waited for age already and for which the
+// upstream is expected to need cost. It reports whether the packet was stored; it is not if the
+// queue has queueLimit requests or the request packetLimit packets.
+func (q *Queue) add(p *Packet, raw []byte, policy RequestPolicy, age, cost time.Duration, now time.Time) bool {
+	packet := bufferedPacket{sequence: p.Sequence, raw: slices.Clone(raw)}
+	packets := q.requests.Payload(p.Key)
+	if packets == nil {
+		return q.Len() < queueLimit && q.requests.Push(queuedRequest{
+			Key: p.Key, Priority: policy.Priority, Arrived: now.Add(-age), LatencyTarget: policy.LatencyTarget,
+			Timeout: policy.Timeout, Cost: cost, Payload: []bufferedPacket{packet},
+		}, now)
 	}
-	for i := range req.packets {
-		if req.packets[i].sequence == p.Sequence {
-			req.packets[i].raw = slices.Clone(raw)
+	for i := range *packets {
+		if (*packets)[i].sequence == p.Sequence {
+			(*packets)[i] = packet
 			return true
 		}
 	}
-	if len(req.packets) >= packetLimit {
+	if len(*packets) >= packetLimit {
 		return false
 	}
-	req.packets = append(req.packets, bufferedPacket{sequence: p.Sequence, raw: slices.Clone(raw)})
+	*packets = append(*packets, packet)
 	return true
 }
 
 // remove deletes the request of a flow, if there is one.
-func (q *Queue) remove(k Key) {
-	q.requests = slices.DeleteFunc(q.requests, func(req *queuedRequest) bool { return req.key == k })
-}
+func (q *Queue) remove(k Key) { q.requests.Remove(k) }
 
-// pop removes the request to be served next and returns it; nil if there is none. serviceTime is
-// how long the upstream takes for a request.
-func (q *Queue) pop(now time.Time, serviceTime time.Duration) *queuedRequest {
-	q.requests = slices.DeleteFunc(q.requests, func(req *queuedRequest) bool { return req.expired(now) })
-	best := -1
-	for i := range q.requests {
-		if best < 0 || q.before(i, best, now, serviceTime) {
-			best = i
-		}
-	}
-	if best < 0 {
-		return nil
-	}
-	req := q.requests[best]
-	q.requests = slices.Delete(q.requests, best, best+1)
-	return req
+// pop removes the request to be served next by an upstream with a number of slots and returns it;
+// false if there is none.
+func (q *Queue) pop(now time.Time, slots int) (queuedRequest, bool) {
+	return q.requests.Pop(now, slots, q.countDropped)
 }
 
-// before reports whether the i-th request is served before the j-th.
-func (q *Queue) before(i, j int, now time.Time, serviceTime time.Duration) bool {
-	a, b := q.requests[i], q.requests[j]
-	if late := a.late(now, serviceTime); late != b.late(now, serviceTime) {
-		return !late
-	}
-	if a.policy.Priority != b.policy.Priority {
-		return a.policy.Priority < b.policy.Priority
-	}
-	return a.arrived.Before(b.arrived)
+// expire drops the requests that can't be answered any more before their callers give up.
+func (q *Queue) expire(now time.Time) { q.requests.Expire(now, q.countDropped) }
+
+func (q *Queue) countDropped(queuedRequest) { q.dropped++ }
+
+// DroppedRequests returns how many queued requests were dropped, since they could not be answered any
+// more before their callers give up.
+func (s *Sidecar) DroppedRequests() uint64 { return s.queue.dropped }
+
+// work returns the time that the upstream is expected to need for the requests that it has, those
+// that are queued, and those of flows that were opened and whose first request has not arrived.
+func (s *Sidecar) work() time.Duration {
+	return time.Duration(s.busy)*s.serviceTime + s.queue.Work() + s.commitments.Work()
 }
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"greengagedyke/schedule"
 )
 
 const (
@@ -212,6 +214,8 @@
 	// probes holds the newest probe for each flow that this process has no record of.
 	probes map[Key]probe
 	queue  Queue
+	// commitments are the flows that were opened and whose first request has not arrived.
+	commitments schedule.Commitments[Key]
 	// serviceTime is the moving average of the time from a request to the first byte of its answer.
 	serviceTime time.Duration
 	// pendingOpenings is the number of flows with pending set.
@@ -363,6 +367,7 @@
 // Load returns the sidecar's report, without Incarnation, Sequence, DomainID and Interval.
 func (s *Sidecar) Load(now time.Time) Load {
 	last := s.monitor.Last()
+	s.commitments.Expire(now)
 	return Load{
 		Tag:           s.tag,
 		State:         s.State(now),
@@ -370,6 +375,8 @@
 		Slots:         uint16(max(0, min(last.Slots, 1<<16-1))),
 		Busy:          uint16(min(s.outstanding(), 1<<16-1)),
 		Flows:         uint16(min(len(s.flows), 1<<16-1)),
+		Work:          s.work(),
+		ServiceTime:   s.serviceTime,
 		WarmupLeft:    max(0, last.WarmupLeft-s.monitor.Age(now)),
 	}
 }
@@ -384,6 +391,7 @@
 	}
 	s.finishRequest(f)
 	s.dropQueued(k, f)
+	s.commitments.Remove(k)
 	delete(s.flows, k)
 }
 
@@ -409,6 +417,7 @@
 // no longer count as busy. Expire has to be called about once a second.
 func (s *Sidecar) Expire(now time.Time) {
 	s.expireCalls++
+	s.queue.expire(now)
 	for k, f := range s.flows {
 		if f.awaitingAnswer && now.Sub(f.requestStart) > max(f.policy.Timeout, defaultTimeout/2) {
 			s.finishRequest(f)
--- a/sidecar/flow_sidecar.go
+++ b/sidecar/flow_sidecar.go
@@ -94,6 +94,11 @@
 		histograms[m] = daemon.NewHistogram(flow.Latency(m).String(), r)
 	}
 	f.sidecar.Observe(func(m flow.Latency, d time.Duration) { histograms[m].Record(d) })
+	metrics.NewRegisteredFunctionalGauge("request.dropped", r, func() int64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return int64(f.sidecar.DroppedRequests())
+	})
 	return errors.Wrap(f.run(ctx, abort, r), "sidecar.RunFlows")
 }
 
@@ -182,6 +187,7 @@
 // until ctx ends.
 func (f *FlowSidecar) reportAndExpire(ctx context.Context) {
 	lastExpiry := f.clock.Now()
+	lastDropped := uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -198,7 +204,12 @@
 		f.mu.Lock()
 		f.sidecar.Expire(now)
 		f.sidecar.ReleaseQueued(now, f.sendToUpstream)
+		dropped := f.sidecar.DroppedRequests()
 		f.mu.Unlock()
+		if dropped > lastDropped {
+			f.log.Info("requests-dropped", "count", dropped-lastDropped)
+			lastDropped = dropped
+		}
 		f.resetOrphans(now)
 		for _, addr := range f.balancers.Expire(now) {
 			f.log.Info("balancer-forgotten", "address", addr.String())
