Registry: a value that no process writes names no address

Change: such a value is left out. The process whose own value is odd replaces it instead of renewing its lease. An empty value, as written before eras, still counts.

--- a/registry/registration.go
+++ b/registry/registration.go
@@ -119,7 +119,11 @@
 	if err != nil {
 		return 0, err
 	}
-	found := registration{key: reg.key, lease: previous.Lease, era: decodeEra(previous.Data)}
+	era, ok := decodeEra(previous.Data)
+	if !ok {
+		return r.currentRevision(ctx, reg.key) // another writer's value, to be replaced
+	}
+	found := registration{key: reg.key, lease: previous.Lease, era: era}
 	if err := r.markNewEra(ctx, &found); err != nil {
 		return 0, err
 	}
@@ -255,11 +259,12 @@
 // encodeEra returns the value of an address that was registered in an era.
 func encodeEra(era uint64) []byte { return strconv.AppendUint(nil, era, 10) }
 
-// decodeEra returns the era in which an address was registered; 0 if its value names none.
-func decodeEra(data []byte) uint64 {
-	era, err := strconv.ParseUint(string(data), 10, 64)
-	if err != nil {
-		return 0
+// decodeEra returns the era in which an address was registered: 0 if its value is empty. It returns
+// false for a value that no process writes.
+func decodeEra(data []byte) (uint64, bool) {
+	if len(data) == 0 {
+		return 0, true
 	}
-	return era
+	era, err := strconv.ParseUint(string(data), 10, 64)
+	return era, err == nil
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -113,16 +113,19 @@
 		}
 		if addr, ok := addressOf(&v, RoleSidecar); ok {
 			a.Sidecars = append(a.Sidecars, addr)
-			a.Complete = a.Complete && decodeEra(v.Data) == era
+			registered, _ := decodeEra(v.Data)
+			a.Complete = a.Complete && registered == era
 		}
 	}
 	return a
 }
 
 // addressOf extracts the address of one role from a value. It returns false for other values, deleted
-// ones and keys of other writers, which name no address that a process can have.
+// ones and those of other writers: their keys name no address that a process can have, or their values
+// cannot be read.
 func addressOf(v *platform.Value, role Role) (netip.AddrPort, bool) {
 	text, ok := strings.CutPrefix(v.Key, keyPrefix+string(role))
 	addr, err := netip.ParseAddrPort(text)
-	return addr, ok && err == nil && !v.Deleted && peer.IsUnicast(addr)
+	_, readable := decodeEra(v.Data)
+	return addr, ok && err == nil && !v.Deleted && readable && peer.IsUnicast(addr)
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/netip"
@@ -158,8 +159,8 @@
 	await(t, reg, true, balancers)
 }
 
-// Another writer left odd entries among those of the processes. They name no address, and the others
-// are still read: issue 27, reports of other operators.
+// Another writer left odd entries among those of the processes. They name no address that a process
+// registered, and the others are still read: issue 27, reports of other operators, and issue 30.
 func TestOddEntries(t *testing.T) {
 	reg, s := newRegistry(t)
 	keepRegistered(t, reg, registry.RoleSidecar, false)
@@ -167,9 +168,12 @@
 		"", "x", "10.0.0.1", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:0", "0.0.0.0:1", "224.0.0.1:1", "[::1]:1", "256.0.0.1:1",
 		"10.0.0.1:99999999999999999999", "a/b/c/d", "10.0.0.1:1/x", "\x00\xff",
 	} {
-		for _, data := range []string{"", "\xff", strings.Repeat("[", 20_000), "99999999999999999999", "-1", `{"era":{}}`} {
-			put := platform.Put{Key: "greengagedyke/sidecars/" + key, Data: []byte(data)}
-			if _, _, err := s.Write(platform.Transaction{Puts: []platform.Put{put}}); err != nil {
+		for i, data := range []string{"", "\xff", strings.Repeat("[", 20_000), "99999999999999999999", "-1", `{"era":{}}`} {
+			puts := []platform.Put{{Key: "greengagedyke/sidecars/" + key, Data: []byte(data)}}
+			if data != "" {
+				puts = append(puts, platform.Put{Key: fmt.Sprintf("greengagedyke/sidecars/10.0.0.2:%d", i), Data: []byte(data)})
+			}
+			if _, _, err := s.Write(platform.Transaction{Puts: puts}); err != nil {
 				t.Fatal(err)
 			}
 		}
