Evacuate failure domains: no new flows on their upstreams

Change: flow.Evacuations, a set with its position in the store's history; watchers read it with the calls for the configuration, balancers pass it on by gossip and to sidecars. Balancers place no flow there, and a sidecar there forwards or refuses opening packets, whoever sent them. Open flows live on. The messages of deployments that evacuate nothing grow by a byte.

--- a/balancer/configuration_source.go
+++ b/balancer/configuration_source.go
@@ -39,13 +39,15 @@
 )
 
 // configurationSource obtains the operator's configuration from the store, or from a peer that has
-// a newer one.
+// a newer one. The same calls to the store read the evacuations of failure domains.
 type configurationSource struct {
 	log    *slog.Logger
 	client *platform.Client
 	clock  *clock.Clock
 	// apply applies a configuration if it is newer, and reports whether it did.
 	apply func(*flow.Configuration) bool
+	// evacuated handles the evacuations that were read from the store.
+	evacuated func(platform.EvacuatedDomains)
 
 	mu       sync.Mutex
 	watchers *watchers
@@ -65,8 +67,8 @@
 	cancelWait context.CancelFunc
 }
 
-func newConfigurationSource(log *slog.Logger, c *platform.Client, self netip.AddrPort, cl *clock.Clock, apply func(*flow.Configuration) bool) *configurationSource {
-	return &configurationSource{log: log, client: c, clock: cl, apply: apply, watchers: newWatchers(self), cancelWait: func() {}}
+func newConfigurationSource(log *slog.Logger, c *platform.Client, self netip.AddrPort, cl *clock.Clock, apply func(*flow.Configuration) bool, evacuated func(platform.EvacuatedDomains)) *configurationSource {
+	return &configurationSource{log: log, client: c, clock: cl, apply: apply, evacuated: evacuated, watchers: newWatchers(self), cancelWait: func() {}}
 }
 
 // storeReachable reports whether the store answered the last call.
@@ -113,9 +115,9 @@
 	}
 }
 
-// watch applies the configurations in the store, by watching or polling it, until ctx ends.
+// watch applies the configurations and evacuations in the store, by watching or polling it, until ctx ends.
 func (s *configurationSource) watch(ctx context.Context) {
-	store := platform.WatchOperatorConfiguration(s.client)
+	store := platform.WatchOperatorConfiguration(s.client, s.evacuated)
 	for ctx.Err() == nil {
 		v, err := s.next(ctx, store)
 		if ctx.Err() != nil {
--- a/balancer/configuration_source_test.go
+++ b/balancer/configuration_source_test.go
@@ -26,6 +26,8 @@
 	registry metrics.Registry
 	// version is the newest version that was applied.
 	version atomic.Uint64
+	// evacuated are the evacuations that were read last.
+	evacuated atomic.Pointer[platform.EvacuatedDomains]
 }
 
 func newSourceSite(t *testing.T) *sourceSite {
@@ -39,7 +41,7 @@
 	client, closeClient := platform.New(slog.New(slog.DiscardHandler), addr, site.registry)
 	t.Cleanup(closeClient)
 	self := netip.MustParseAddrPort("10.0.0.99:1")
-	site.source = newConfigurationSource(slog.New(slog.DiscardHandler), client, self, clock.New(), site.apply)
+	site.source = newConfigurationSource(slog.New(slog.DiscardHandler), client, self, clock.New(), site.apply, site.observe)
 	return site
 }
 
@@ -51,6 +53,8 @@
 	return true
 }
 
+func (s *sourceSite) observe(e platform.EvacuatedDomains) { s.evacuated.Store(&e) }
+
 // write stores a configuration.
 func (s *sourceSite) write(version int) {
 	s.t.Helper()
--- a/balancer/flow_balancer.go
+++ b/balancer/flow_balancer.go
@@ -54,6 +54,7 @@
 	// lookupAdded is signalled when a packet is buffered for a lookup.
 	lookupAdded chan struct{}
 	source      *configurationSource
+	evacuation  *evacuationGossip
 	// seenSuspension is the VM's total time of suspension at the last suspension that stale detected.
 	// Only the goroutine that reads packets uses it and staleUntil.
 	seenSuspension time.Duration
@@ -78,6 +79,7 @@
 
 		undecided:   newUndecided(),
 		lookupAdded: make(chan struct{}, 1),
+		evacuation:  newEvacuationGossip(cfg.FailureDomain, r),
 	}
 	return errors.Wrap(f.run(ctx, abort, r), "balancer.RunFlows")
 }
@@ -103,7 +105,7 @@
 	defer configurations.Close()
 	client, closeClient := platform.New(f.log, f.cfg.Store, r)
 	defer closeClient()
-	f.source = newConfigurationSource(f.log, client, f.cfg.Tunnel, f.clock, f.configure)
+	f.source = newConfigurationSource(f.log, client, f.cfg.Tunnel, f.clock, f.configure, f.storeEvacuations)
 	reg := registry.New(f.log, client)
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	f.addBalancers(peer.BalancerInfos(daemon.TunnelAddrs(f.cfg.Peers, f.cfg.Tunnel.Port())))
@@ -183,6 +185,7 @@
 		for _, addr := range f.knownBalancers.Expire(now) {
 			f.log.Info("balancer-forgotten", "address", addr.String())
 		}
+		f.tickEvacuations(now)
 		f.gossipToBalancers()
 		f.gossipToSidecars()
 	}
@@ -357,7 +360,9 @@
 	}
 	if changed {
 		f.send(f.balancersMessage(), from)
+		return
 	}
+	f.answerReport(from, &l)
 }
 
 // sendReset sends a reset of flow k to the caller. ack is the Ack field of the caller's packet. The
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -48,6 +48,7 @@
 // handleBalancers handles gossip from another balancer. If that balancer has fewer sidecars than this
 // one, it is sent a gossip message and a list of sidecars.
 func (f *FlowBalancer) handleBalancers(from netip.AddrPort, l *peer.Balancers) {
+	f.handleEvacuations(l.Evacuations, from.String())
 	f.addBalancers(l.Infos)
 	now := f.clock.Now()
 	f.mu.Lock()
@@ -97,7 +98,7 @@
 func (f *FlowBalancer) balancersMessage() []byte {
 	now := f.clock.Now()
 	f.mu.Lock()
-	l := peer.Balancers{Version: f.balancer.Configuration().Version}
+	l := peer.Balancers{Version: f.balancer.Configuration().Version, Evacuations: f.balancer.Evacuations()}
 	l.SidecarCount, _ = f.balancer.MemberCounts(now)
 	f.mu.Unlock()
 	watcherPeers := f.source.watcherPeers()
--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -81,6 +81,9 @@
 	ReasonStale
 	// ReasonTooManyLookups: lookupLimit lookups are in progress already.
 	ReasonTooManyLookups
+	// ReasonEvacuated: the failure domain is evacuated, or no sidecar of the service outside of evacuated
+	// failure domains accepts new flows.
+	ReasonEvacuated
 	reasonCount
 )
 
@@ -91,7 +94,7 @@
 func (r Reason) String() string {
 	names := [...]string{
 		"none", "no-route", "no-upstream", "placed", "placed-again", "known", "search", "unknown-flow",
-		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost", "queued", "lost", "stale", "too-many-lookups",
+		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost", "queued", "lost", "stale", "too-many-lookups", "evacuated",
 	}
 	return names[r]
 }
@@ -167,6 +170,10 @@
 	// rankings holds the ranking of each service, computed on first use after a change of its
 	// members.
 	rankings map[Tag]*ranking
+	// placementRankings are the same without the members in evacuated failure domains, while there are
+	// any.
+	placementRankings map[Tag]*ranking
+	evacuations       evacuationTracker
 	// locations caches the sidecars of flows. An entry may be missing or outdated.
 	locations *locationCache
 	// lastExpire is when Expire was last called. runningSince is when Expire last found that this
@@ -213,6 +220,8 @@
 		rankings:   map[Tag]*ranking{},
 		locations:  newLocationCache(),
 
+		placementRankings: map[Tag]*ranking{},
+
 		lookups:    map[Key]*lookup{},
 		queries:    map[uint32]*pendingQuery{},
 		queryID:    rand.Uint32(), // so that late answers to an earlier process match no query
@@ -262,8 +271,8 @@
 	rankingChanged := !ok || m.Load.Tag != l.Tag
 	changed := rankingChanged || m.Load.State != l.State
 	if rankingChanged {
-		delete(b.rankings, m.Load.Tag)
-		delete(b.rankings, l.Tag)
+		b.dropRankings(m.Load.Tag)
+		b.dropRankings(l.Tag)
 	}
 	m.Load = l
 	m.ReportedAt = now
@@ -291,7 +300,7 @@
 	for addr, m := range b.members {
 		if m.expired(b.runningSince, now) {
 			delete(b.members, addr)
-			delete(b.rankings, m.Load.Tag)
+			b.dropRankings(m.Load.Tag)
 			b.expiredMembers[addr] = now
 			expired = append(expired, addr)
 		}
@@ -323,11 +332,12 @@
 	return b.rankings[tag]
 }
 
-// MemberCounts returns the number of members, and of those that accept new flows.
+// MemberCounts returns the number of members, and of those that accept new flows or would if their
+// failure domain were not evacuated.
 func (b *Balancer) MemberCounts(now time.Time) (all, ready int) {
 	for _, m := range b.members {
 		all++
-		if m.acceptsFlows(now) {
+		if m.serves(now) {
 			ready++
 		}
 	}
@@ -372,7 +382,7 @@
 		return b.lookUp(p, path, loc, now)
 	}
 	if known && b.members[loc.addr].Load.Tag == service.Tag {
-		return b.forwardKnown(p, loc, route, now)
+		return b.forwardKnownOpening(p, loc, route, hash, now)
 	}
 	if known {
 		loc = location{} // the flow was of a service that the route no longer leads to
@@ -380,9 +390,9 @@
 	if l, ok := b.lookups[p.Key]; ok {
 		b.finish(l) // the caller reuses its port for a new flow
 	}
-	r := b.ranking(service.Tag)
+	r := b.placementRanking(service.Tag)
 	if r == nil {
-		return b.refuseNoUpstream(p, now)
+		return b.refuseNoUpstream(p, service.Tag, now)
 	}
 	return b.place(p, r, path, hash, loc, now)
 }
@@ -396,11 +406,11 @@
 
 // refuseNoUpstream refuses a flow that no member accepts. While members may be unknown, it drops
 // the packet instead of resetting the flow, since a retransmission may succeed.
-func (b *Balancer) refuseNoUpstream(p *Packet, now time.Time) BalancerVerdict {
+func (b *Balancer) refuseNoUpstream(p *Packet, tag Tag, now time.Time) BalancerVerdict {
 	if !b.settled(now) {
 		return BalancerVerdict{Action: ActionDrop, Reason: ReasonNoUpstream, Undecided: true}
 	}
-	return refuse(p, ReasonNoUpstream)
+	return refuse(p, b.noUpstreamReason(tag, now))
 }
 
 // CanDecide reports whether packets whose verdict was Undecided can be decided about now.
--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -195,7 +195,11 @@
 	if tp.Path.Tag != s.tag {
 		return forwardToSibling(tp, ReasonOtherService)
 	}
-	if s.State(now) != StateReady {
+	switch s.State(now) {
+	case StateReady:
+	case StateEvacuated:
+		return s.openEvacuated(tp, now)
+	default:
 		return forwardToSibling(tp, ReasonUpstreamClosed)
 	}
 	f, ok := s.flows[tp.Packet.Key]
--- a/flow/member.go
+++ b/flow/member.go
@@ -17,11 +17,14 @@
 	StateReady
 	// StateLeaving means that the upstream keeps its flows and accepts no new ones.
 	StateLeaving
+	// StateEvacuated means that the upstream keeps its flows and accepts no new ones, since its failure
+	// domain is evacuated.
+	StateEvacuated
 )
 
 // String returns the state's name.
 func (s State) String() string {
-	names := [...]string{"waiting", "ready", "leaving"}
+	names := [...]string{"waiting", "ready", "leaving", "evacuated"}
 	if int(s) >= len(names) {
 		return "unknown"
 	}
--- a/flow/placement.go
+++ b/flow/placement.go
@@ -10,6 +10,12 @@
 	return m.Load.State == StateReady && !m.silent(now)
 }
 
+// serves reports whether the member accepts new flows, or would if its failure domain were not
+// evacuated.
+func (m *Member) serves(now time.Time) bool {
+	return (m.Load.State == StateReady || m.Load.State == StateEvacuated) && !m.silent(now)
+}
+
 // place chooses the sidecar for an opening packet. A retransmission goes to another sidecar than
 // the packet before it, which was not answered, unless no other sidecar accepts new flows.
 func (b *Balancer) place(p *Packet, r *ranking, path Path, hash uint64, loc location, now time.Time) BalancerVerdict {
@@ -22,15 +28,10 @@
 	}
 	best := b.cheapest(r, hash, loc.addr, now)
 	if best == nil {
-		return b.refuseNoUpstream(p, now)
+		return b.refuseNoUpstream(p, path.Tag, now)
 	}
 	v.Path.To = best.Addr
-	for rank := range r.depth {
-		m := r.at(hash, rank)
-		if m != best && m.acceptsFlows(now) {
-			v.Path.add(m.Addr)
-		}
-	}
+	v.Path.addAccepting(r, hash, best, now)
 	best.SentSinceReport++
 	if best.unansweredSince.IsZero() {
 		best.unansweredSince = now
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -221,6 +221,11 @@
 	busy int
 	// leaving is set once this sidecar is stopping.
 	leaving bool
+	// domain is the ID of the sidecar's failure domain; 0 if it is unknown.
+	domain      uint32
+	evacuations evacuationTracker
+	// evacuationEndedAt is when the newest evacuation of the domain ended; zero if none has.
+	evacuationEndedAt time.Time
 	// observe is called with each measured latency.
 	observe func(Latency, time.Duration)
 	// idleTimeout is how long a flow is kept without a packet.
@@ -290,7 +295,8 @@
 func (s *Sidecar) Leave() { s.leaving = true }
 
 // State returns the state that is reported to balancers: StateLeaving if this sidecar is stopping,
-// otherwise whether the upstream accepts new flows.
+// StateEvacuated if the upstream would accept new flows but its failure domain is evacuated, otherwise
+// whether the upstream accepts new flows.
 func (s *Sidecar) State(now time.Time) State {
 	state := s.monitor.State(now)
 	switch {
@@ -298,6 +304,8 @@
 		return StateLeaving
 	case state == StateReady && s.absent:
 		return StateWaiting
+	case state == StateReady && s.Evacuated(now):
+		return StateEvacuated
 	}
 	return state
 }
@@ -409,6 +417,7 @@
 // no longer count as busy. Expire has to be called about once a second.
 func (s *Sidecar) Expire(now time.Time) {
 	s.expireCalls++
+	s.expireEvacuations(now)
 	for k, f := range s.flows {
 		if f.awaitingAnswer && now.Sub(f.requestStart) > max(f.policy.Timeout, defaultTimeout/2) {
 			s.finishRequest(f)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -69,8 +69,8 @@
 	pathSize   = 3 + 4 + policySize + 2 + addressSize
 	policySize = 1 + 2 + 2
 	loadSize   = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2 + 2 + 4 + 2
-	// balancersSize is the length of a KindBalancers body without its infos.
-	balancersSize = 8 + 4
+	// balancersSize is the length of a KindBalancers body without its evacuations and infos.
+	balancersSize = 8 + 4 + 1
 	// MaxHead is the largest length of the header that AppendPacket appends.
 	MaxHead = commonSize + pathSize + flow.RankingDepth*addressSize
 	// MaxAddrs is the largest number of addresses in a KindBalancers or KindSidecars.
@@ -284,6 +284,9 @@
 	Version uint64
 	// SidecarCount is the number of sidecars that report to the sender.
 	SidecarCount int
+	// Evacuations are the newest evacuations that the sender knows; the zero value if no process is
+	// known to have had any.
+	Evacuations flow.Evacuations
 	// Infos describes the sender and other balancers.
 	Infos []BalancerInfo
 }
@@ -293,6 +296,7 @@
 	b = append(b, magic, byte(KindBalancers))
 	b = binary.BigEndian.AppendUint64(b, l.Version)
 	b = binary.BigEndian.AppendUint32(b, uint32(l.SidecarCount))
+	b = appendEvacuations(b, &l.Evacuations)
 	for _, info := range l.Infos[:min(len(l.Infos), MaxAddrs)] {
 		b = appendAddr(b, info.Addr)
 		age := byte(max(0, min((info.Age+ageUnit-1)/ageUnit, maxAgeUnits)))
@@ -306,11 +310,16 @@
 
 // ParseBalancers parses the body of a KindBalancers.
 func ParseBalancers(b []byte) (Balancers, error) {
-	if len(b) < balancersSize || (len(b)-balancersSize)%balancerInfoSize != 0 {
+	if len(b) < balancersSize {
 		return Balancers{}, ErrTruncated
 	}
 	l := Balancers{Version: binary.BigEndian.Uint64(b), SidecarCount: int(binary.BigEndian.Uint32(b[8:]))}
-	for rest := b[balancersSize:]; len(rest) > 0; rest = rest[balancerInfoSize:] {
+	evacuations, rest, err := parseEvacuations(b[balancersSize-1:])
+	if err != nil || len(rest)%balancerInfoSize != 0 {
+		return Balancers{}, ErrTruncated
+	}
+	l.Evacuations = evacuations
+	for ; len(rest) > 0; rest = rest[balancerInfoSize:] {
 		age := rest[addressSize]
 		l.Infos = append(l.Infos, BalancerInfo{
 			Addr: parseAddr(rest), Age: time.Duration(age&maxAgeUnits) * ageUnit, StoreReachable: age&flagStoreReachable != 0,
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -86,6 +86,27 @@
 	}
 }
 
+// Gossip carries evacuations once there have been any; without them, it grows by a byte only.
+func TestEvacuations(t *testing.T) {
+	for _, e := range []flow.Evacuations{{}, flow.NewEvacuations(0, 7, []uint32{}), flow.NewEvacuations(1<<40, 9, []uint32{3, 1<<32 - 1})} {
+		want := peer.Balancers{Version: 12, Evacuations: e, Infos: []peer.BalancerInfo{{Addr: addr1}}}
+		b := peer.AppendBalancers(nil, &want)
+		got, err := peer.ParseBalancers(body(t, b, peer.KindBalancers))
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, %v, want %+v", got, err, want)
+		}
+		if size := 2 + 12 + 1 + 7; e.IsZero() && len(b) != size {
+			t.Errorf("got %d bytes without evacuations, want %d", len(b), size)
+		}
+	}
+	long := peer.AppendBalancers(nil, &peer.Balancers{Evacuations: flow.NewEvacuations(1, 9, []uint32{3, 4})})
+	for n := range len(long) {
+		if _, err := peer.ParseBalancers(long[min(2, n):n]); err == nil {
+			t.Errorf("%d of %d bytes: got no error", n, len(long))
+		}
+	}
+}
+
 // The age of a balancer that has stopped must not shrink when others relay it, so ages are rounded
 // up.
 func TestBalancerAgesAreRoundedUp(t *testing.T) {
@@ -173,6 +194,7 @@
 	f.Add(peer.AppendProbes(nil, &peer.Probes{RelayTo: []netip.AddrPort{addr1}, Packets: [][]byte{{1, 2}, {3}}}))
 	f.Add(peer.AppendQuery(nil, &flow.Query{RelayTo: []netip.AddrPort{addr1}, Questions: []flow.Question{{Key: key}}}))
 	f.Add(peer.AppendAnswer(nil, &flow.Answer{Results: []flow.LookupResult{flow.LookupResultHeld}}))
+	f.Add(peer.AppendBalancers(nil, &peer.Balancers{Evacuations: flow.NewEvacuations(1, 9, []uint32{3, 4})}))
 	f.Add(peer.AppendBalancers(nil, &peer.Balancers{Infos: []peer.BalancerInfo{{Addr: addr1}}}))
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		_, rest, err := peer.KindOf(b)
--- a/sidecar/flow_packets.go
+++ b/sidecar/flow_packets.go
@@ -12,9 +12,9 @@
 // readTunnel handles datagrams from balancers and siblings until the socket is closed.
 func (f *FlowSidecar) readTunnel() {
 	out := make([]byte, 0, daemon.MaxDatagram+peer.MaxHead)
-	daemon.ReadUDP(f.tunnel, f.counters.NotSent, func(b []byte, _ netip.AddrPort) {
+	daemon.ReadUDP(f.tunnel, f.counters.NotSent, func(b []byte, from netip.AddrPort) {
 		f.counters.Received.Inc(1)
-		if err := f.handleDatagram(b, out); err != nil {
+		if err := f.handleDatagram(b, from, out); err != nil {
 			f.counters.CountRefused(err)
 		}
 	})
@@ -22,7 +22,7 @@
 
 // handleDatagram handles a datagram from a balancer or sibling. out is a buffer for datagrams to
 // send.
-func (f *FlowSidecar) handleDatagram(b, out []byte) error {
+func (f *FlowSidecar) handleDatagram(b []byte, from netip.AddrPort, out []byte) error {
 	kind, body, err := peer.KindOf(b)
 	if err != nil {
 		return err
@@ -35,6 +35,7 @@
 		if err != nil {
 			return err
 		}
+		f.handleEvacuations(l.Evacuations, from)
 		f.addBalancers(l.Infos)
 		return nil
 	case peer.KindQuery:
--- a/standin/flowtest/flows_test.go
+++ b/standin/flowtest/flows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -64,7 +65,9 @@
 	sidecars     [3]*daemon
 	upstreams    [3]*flowtest.Upstream
 	stopUpstream [3]func()
-	logs         logBuffer
+	// domains are the failure domains of the sidecars; empty for a.
+	domains [3]string
+	logs    logBuffer
 }
 
 // newSite starts a site and waits until its balancers are ready.
@@ -190,7 +193,7 @@
 
 func (s *site) startSidecar(i int) {
 	cfg := &sidecar.FlowSettings{
-		Identity: fmt.Sprintf("sidecar-%d", i), FailureDomain: "a", Service: coreService,
+		Identity: fmt.Sprintf("sidecar-%d", i), FailureDomain: cmp.Or(s.domains[i], "a"), Service: coreService,
 		Tunnel:       s.block.Addr(sidecarSubnet, i+1, packetsPort),
 		Outbound:     s.block.Addr(sidecarSubnet, i+1, outboundPort),
 		Upstream:     s.block.Addr(sidecarSubnet, i+1, upstreamPort),
