--- a/flow/warmup.go
+++ b/flow/warmup.go
@@ -86,10 +86,13 @@
 	return left
 }
 
-// warmupUnknown reports whether the upstream may have been replaced by one that warms up, and has sent
-// no heartbeat that tells.
+// warmupUnknown reports whether no heartbeat tells yet that the upstream warms up: it may have been
+// replaced, or the evacuation of its failure domain has ended.
 func (s *Sidecar) warmupUnknown() bool {
 	m := s.monitor
+	if s.evacuationEndedAt.After(m.receivedAt) {
+		return true
+	}
 	otherReported := m.claim.ID != "" && !m.claim.sameIncarnation(&m.last)
 	return otherReported || !s.notListeningAt.Before(m.receivedAt) || s.check.requestedAt.After(m.receivedAt)
 }
