schedule: an urgent late request goes before a higher priority that has time

Cause: after a standstill at 0.9 of the slots' load, one or two late requests of the lower priority missed their deadline behind a cluster of the higher one, which had time. Change: such a late request goes first if all of the higher priorities still are in time after it.

--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -11,9 +11,6 @@
 	DefaultTimeout = 5 * time.Second
 	// epochAge is the age at which an empty queue's epoch is replaced.
 	epochAge = time.Hour
-	// marginShare is the part of the late work by which late requests go before they have to, since
-	// expected costs are uncertain.
-	marginShare = 0.125
 )
 
 // Request is a request that waits for an upstream.
@@ -57,8 +54,8 @@
 //
 // Requests that can still meet their latency target go first, by priority and then the time left.
 // But a late request goes before those of the same and lower priorities when, of the late ones, one
-// would miss its deadline otherwise. So nobody fails whom the slots suffice for, and as many as
-// possible are in time. If the slots don't suffice, the late requests of the lowest priority are
+// would miss its deadline otherwise, and before those of higher priorities if they still are in time
+// after it. So nobody fails whom the slots suffice for, and as many as possible are in time. If the slots don't suffice, the late requests of the lowest priority are
 // given up, which are then served only if nothing else waits. When requests have been lost for as
 // long as a whole timeout, the overload isn't a burst; then late requests no longer make others late.
 //
@@ -288,66 +285,12 @@
 	}
 }
 
-// giveUp gives up late requests until the slots suffice for the others.
-func (q *Queue[K, P]) giveUp(now time.Duration) {
-	for l := range q.late {
-		t := &q.late[l]
-		for i := t.victim(now); i != none; i = t.victim(now) {
-			q.recordLoss(i, now)
-			q.removeLate(i)
-			q.items[i].place = placeGivenUp
-			q.givenUp.push(i, q.items[i].start)
-		}
-	}
-}
-
 // recordLoss records that a request is given up or dropped.
 func (q *Queue[K, P]) recordLoss(i int32, now time.Duration) {
 	it := &q.items[i]
 	q.lost[it.level].record(now, timeoutOf(it.req.Timeout))
 }
 
-// next returns the request to be served next, or none.
-func (q *Queue[K, P]) next(now time.Time) int32 {
-	for l := range q.onTime {
-		if len(q.onTime[l].entries) == 0 {
-			continue
-		}
-		first, _ := q.onTime[l].first()
-		// Another request may have just begun in each slot, and the late one may take twice as long.
-		if i := q.urgent(uint8(l), 2*q.items[first].cost*time.Duration(q.slots), now); i != none {
-			return i
-		}
-		return first
-	}
-	if i := q.late[Levels-1].first(); i != none {
-		return i
-	}
-	if len(q.givenUp.entries) > 0 {
-		i, _ := q.givenUp.first()
-		return i
-	}
-	return none
-}
-
-// urgent returns the late request of a level or a higher one that has to go before other work, in
-// slot time, or none.
-func (q *Queue[K, P]) urgent(level uint8, other time.Duration, now time.Time) int32 {
-	t := now.Sub(q.epoch)
-	for l := range q.late[:level+1] {
-		late := &q.late[l]
-		if late.root == none || !q.Admitted && q.lost[l].lasting(t) {
-			continue
-		}
-		higher := q.rates.higherShare(uint8(l), q.slots, now)
-		margin := time.Duration(float64(late.work()) * (marginShare + higher/(1-higher)))
-		if late.slack(t) < margin+other {
-			return late.first()
-		}
-	}
-	return none
-}
-
 // removeLate removes a request from the late ones.
 func (q *Queue[K, P]) removeLate(i int32) {
 	for l := q.items[i].level; l < Levels; l++ {
