--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -76,9 +76,13 @@
 		lost.record(t, timeout)
 		return RefuseLate
 	}
-	a.rates.add(level, cost, now)
 	if late {
 		return AdmitLate
 	}
 	return Admit
 }
+
+// Record records that a request has been admitted. It is not called for those that are forwarded.
+func (a *Admission) Record(o Opening, now time.Time) {
+	a.rates.add(levelOf(o.Priority), min(o.Cost, timeoutOf(o.Timeout)/2), now)
+}
--- a/schedule/replay_test.go
+++ b/schedule/replay_test.go
@@ -128,6 +128,7 @@
 	if s.admit && s.admission.Decide(o, soon, all, replaySlots, now) >= Refuse {
 		return false
 	}
+	s.admission.Record(o, now)
 	s.commitments.Add(i, k.priority, meanCost, now)
 	return true
 }
