schedule: tighter limits in the replays

Cause: the limits for failures were set before the reserve in a lasting overload. Change: 3% of all calls in a lasting overload, 4% of the burst's kind.

--- a/schedule/replay_test.go
+++ b/schedule/replay_test.go
@@ -305,8 +305,8 @@
 		}
 		for _, o := range [][2]outcome{r.admission, r.refuseLate} {
 			got := sum(o)
-			if o[0].inTime < o[0].calls*99/100 || got.failed > got.calls*5/100 || got.toldLate > 0 {
-				t.Errorf("seed %d: got %+v, want the first kind in time, and at most 5%% failed", seed, o)
+			if o[0].inTime < o[0].calls*99/100 || got.failed > got.calls*3/100 || got.toldLate > 0 {
+				t.Errorf("seed %d: got %+v, want the first kind in time, and at most 3%% failed", seed, o)
 			}
 		}
 		if o := r.refuseLate[1]; o.inTime < (o.inTime+o.late)/2 {
@@ -322,7 +322,7 @@
 		loads := []load{{0, [2]float64{0.4, 0.2}}, {2 * second, [2]float64{0.4, 2}}, {8 * second, [2]float64{0.4, 0.2}}}
 		r := compare(t, calls(seed, loads, 20*second), 0)
 		for _, o := range [][2]outcome{r.admission, r.refuseLate} {
-			if o[0].failed+o[0].refused > 0 || o[0].inTime < o[0].calls*99/100 || o[1].failed > o[1].calls*5/100 || o[1].toldLate > 0 {
+			if o[0].failed+o[0].refused > 0 || o[0].inTime < o[0].calls*99/100 || o[1].failed > o[1].calls*4/100 || o[1].toldLate > 0 {
 				t.Errorf("seed %d: got %+v, want the first kind in time, and the others told at once", seed, o)
 			}
 		}
