--- a/schedule/replay_test.go
+++ b/schedule/replay_test.go
@@ -128,6 +128,7 @@
 	if s.admit && s.admission.Decide(o, soon, all, replaySlots, now) >= Refuse {
 		return false
 	}
+	s.admission.Record(o, now)
 	s.commitments.Add(i, k.priority, meanCost, now)
 	return true
 }
@@ -276,11 +277,12 @@
 	}
 }
 
-// After a standstill of 0.8 s, all callers return at once. Nobody may fail.
+// After a standstill of 0.8 s, at 0.9 of what the slots can do, all callers return at once. The slots
+// need longer than the deadline to be in time with all again, but nobody may fail.
 func TestStandstill(t *testing.T) {
 	for seed := range uint64(3) {
 		const resume = 800 * time.Millisecond
-		all := calls(seed, []load{{0, steady}}, 10*second)
+		all := calls(seed, []load{{0, [2]float64{0.36, 0.54}}}, 10*second)
 		for i := range all {
 			all[i].opened = max(all[i].opened, resume)
 		}
@@ -303,8 +305,8 @@
 		}
 		for _, o := range [][2]outcome{r.admission, r.refuseLate} {
 			got := sum(o)
-			if o[0].inTime < o[0].calls*99/100 || got.failed > got.calls*5/100 || got.toldLate > 0 {
-				t.Errorf("seed %d: got %+v, want the first kind in time, and at most 5%% failed", seed, o)
+			if o[0].inTime < o[0].calls*99/100 || got.failed > got.calls*3/100 || got.toldLate > 0 {
+				t.Errorf("seed %d: got %+v, want the first kind in time, and at most 3%% failed", seed, o)
 			}
 		}
 		if o := r.refuseLate[1]; o.inTime < (o.inTime+o.late)/2 {
@@ -320,7 +322,7 @@
 		loads := []load{{0, [2]float64{0.4, 0.2}}, {2 * second, [2]float64{0.4, 2}}, {8 * second, [2]float64{0.4, 0.2}}}
 		r := compare(t, calls(seed, loads, 20*second), 0)
 		for _, o := range [][2]outcome{r.admission, r.refuseLate} {
-			if o[0].failed+o[0].refused > 0 || o[0].inTime < o[0].calls*99/100 || o[1].failed > o[1].calls*5/100 || o[1].toldLate > 0 {
+			if o[0].failed+o[0].refused > 0 || o[0].inTime < o[0].calls*99/100 || o[1].failed > o[1].calls*4/100 || o[1].toldLate > 0 {
 				t.Errorf("seed %d: got %+v, want the first kind in time, and the others told at once", seed, o)
 			}
 		}
