--- a/flow/evacuation_test.go
+++ b/flow/evacuation_test.go
@@ -233,3 +233,21 @@
 		t.Errorf("got %v, want the 4 members in b", got)
 	}
 }
+
+// A sidecar whose domain stays evacuated after a restore of the store is told so only once, although
+// each of many messages names the new era, and takes flows again at the end of the hold.
+func TestSidecarHoldsEvacuation(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	s.SetFailureDomain("a")
+	s.HandleEvacuations(evacuationsOf(2, "a"), now)
+	for i, want := range []bool{true, false, false} {
+		if changed, held := s.HandleEvacuations(NewEvacuations(1, 1, nil), now); changed || held != want {
+			t.Errorf("message %d: got changed %v, held %v; want false, %v", i, changed, held, want)
+		}
+	}
+	end := now.Add(EvacuationHold)
+	s.Expire(end)
+	if s.Evacuated(end) || !s.evacuationEndedAt.Equal(end) {
+		t.Errorf("got evacuated %v, ended at %v", s.Evacuated(end), s.evacuationEndedAt)
+	}
+}
--- a/flow/sidecar_evacuation.go
+++ b/flow/sidecar_evacuation.go
@@ -7,17 +7,18 @@
 func (s *Sidecar) SetFailureDomain(name string) { s.domain = DomainID(name) }
 
 // HandleEvacuations processes evacuations that a balancer named. It reports whether the evacuation of
-// the sidecar's own failure domain has begun or ended, and whether it is held after the store was
-// restored, so that it may end by itself after EvacuationHold.
+// the sidecar's own failure domain has begun or ended, and whether it has begun to be held after the
+// store was restored, so that it may end by itself after EvacuationHold.
 func (s *Sidecar) HandleEvacuations(e Evacuations, now time.Time) (changed, held bool) {
 	if s.domain == 0 {
 		return false, false
 	}
-	before := s.evacuations.isEvacuated(s.domain, now)
+	before := s.Evacuated(now)
+	_, heldBefore := s.evacuations.heldUntil[s.domain]
 	s.evacuations.observe(&e, now)
 	_, held = s.evacuations.heldUntil[s.domain]
 	s.recordEvacuationEnd()
-	return before != s.Evacuated(now), held
+	return before != s.Evacuated(now), held && !heldBefore
 }
 
 // Evacuated reports whether the sidecar's failure domain gets no new flows.
