--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -129,6 +129,9 @@
 	Action Action
 	Reason Reason
 	Path   Path
+	// Expected is how long the answer to the first request of a new flow is expected to take; only set
+	// by PlaceByExpectedTime.
+	Expected time.Duration
 	// Buffer means that the packet has to be passed to BufferPacket, since its flow is being looked
 	// up.
 	Buffer bool
@@ -159,7 +162,8 @@
 // not safe for concurrent use.
 type Balancer struct {
 	// domain is the ID of this balancer's failure domain.
-	domain uint32
+	domain    uint32
+	placement Placement
 	// cfg is the configuration in force; its version is 0 before there is one.
 	cfg *Configuration
 	// members holds the sidecars that report to this balancer, by address.
@@ -265,6 +269,7 @@
 		delete(b.rankings, m.Load.Tag)
 		delete(b.rankings, l.Tag)
 	}
+	m.recordWork(&l)
 	m.Load = l
 	m.ReportedAt = now
 	m.SentSinceReport = 0
--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -57,6 +57,9 @@
 	if !s.queue.add(&tp.Packet, tp.Raw, f.policy, openingAge(f.retransmissions), now) {
 		return f.queued
 	}
+	if !f.queued {
+		f.describeRequest(&tp.Packet)
+	}
 	f.queued = true
 	f.retransmissions = 0
 	f.advance(&tp.Packet)
@@ -120,6 +123,7 @@
 	f.requestStart = now
 	f.retransmissions = 0
 	s.busy++
+	s.running.begin(f, s.slots(), now)
 }
 
 // ackMatches reports whether a caller's acknowledgement number is in the range of what the upstream
@@ -137,6 +141,7 @@
 func (s *Sidecar) trackCallerPacket(f *flowState, p *Packet, now time.Time) {
 	f.lastUsed = now
 	if p.Length > 0 && !f.awaitingAnswer && f.ended == 0 && !f.isRetransmission(p) {
+		f.describeRequest(p)
 		s.beginRequest(f, now)
 	}
 	f.advance(p)
@@ -163,6 +168,7 @@
 	if f.awaitingAnswer {
 		f.awaitingAnswer = false
 		s.busy--
+		s.running.end(f)
 	}
 }
 
@@ -204,7 +210,7 @@
 		return SidecarVerdict{Action: ActionUpstream, Reason: ReasonPlacedAgain}
 	}
 	// At most two overloaded sidecars forward the packet.
-	if tp.Hop < tp.Path.FallbackCount && tp.Hop < 2 && s.overloaded() {
+	if tp.Hop < tp.Path.FallbackCount && tp.Hop < 2 && s.overloaded(&tp.Path.Policy, now) {
 		return forwardToSibling(tp, ReasonUpstreamBusy)
 	}
 	if ok {
@@ -219,7 +225,10 @@
 }
 
 // overloaded reports whether so many requests wait that a sibling may be faster.
-func (s *Sidecar) overloaded() bool {
+func (s *Sidecar) overloaded(policy *RequestPolicy, now time.Time) bool {
+	if s.placement == PlaceByExpectedTime {
+		return s.waitsTooLong(policy, now)
+	}
 	slots := max(1, s.monitor.Last().Slots)
 	return s.outstanding() >= slots*(1+queuedPerSlot)
 }
--- /dev/null
+++ b/flow/expected_time.go
@@ -0,0 +1,139 @@
+package flow
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Placement says how the sidecar for a new flow is chosen.
+type Placement uint8
+
+const (
+	// PlaceByRequests chooses the sidecar with the fewest requests and flows per slot.
+	PlaceByRequests Placement = iota
+	// PlaceByExpectedTime chooses the sidecar that is expected to answer first. It answers loads in
+	// which requests that look alike cost different amounts of work, and upstreams of unequal pace.
+	PlaceByExpectedTime
+)
+
+const (
+	// candidateLimit is the number of ranked members of the own failure domain, and of others, that
+	// are compared. With more, all balancers would send their flows to the same few members until
+	// these report again.
+	candidateLimit = 3
+	// muchLater is the ratio of expected times above which a member comes last among the fallbacks.
+	muchLater = 2
+	// otherDomainTime is how much sooner a member of another failure domain has to answer.
+	otherDomainTime = 15 * time.Millisecond
+	// unansweredTime is added for a member that left an opening packet unanswered. It is more than
+	// callers wait until they send the packet again.
+	unansweredTime = time.Second
+	// usualWorkGain is the weight of a report in the moving average Member.usualWork.
+	usualWorkGain = 1.0 / 8
+	// waitLimit is how long a request may wait for a slot before its flow goes to a sibling, as a
+	// multiple of the time that a request takes.
+	waitLimit = 1.5
+)
+
+// SetPlacement changes how new flows are placed. It has to be called before the first packet.
+func (b *Balancer) SetPlacement(p Placement) { b.placement = p }
+
+// recordWork updates what is known of the member's work for a report that is about to replace the one
+// before it.
+func (m *Member) recordWork(l *Load) {
+	m.sentWork = 0
+	m.usualWork += time.Duration(usualWorkGain * float64(l.Work-m.usualWork))
+}
+
+// requestTime returns how long the member is expected to take for a request of a route.
+func (m *Member) requestTime(id RouteID) time.Duration {
+	for i := range m.Load.RouteCosts {
+		if c := &m.Load.RouteCosts[i]; c.Route == id {
+			return c.Cost
+		}
+	}
+	return m.Load.ServiceTime
+}
+
+// expectedWork returns the work that the member is expected to have by now. Reported work is done after
+// a time and other work arrives, so an older report says less than what is usual.
+func (m *Member) expectedWork(now time.Time) time.Duration {
+	slots := time.Duration(max(1, m.Load.Slots))
+	turnover := float64(max(m.Load.Work/slots, m.Load.ServiceTime, time.Millisecond))
+	current := turnover / (turnover + float64(max(0, now.Sub(m.ReportedAt))))
+	return m.usualWork + time.Duration(current*float64(m.Load.Work-m.usualWork))
+}
+
+// expectedTime returns how long a caller is expected to wait for the answer to a request of a route
+// that is sent to the member now, with the prices of other reasons to avoid the member. The other
+// balancers are expected to have sent it as much work as this one since it reported.
+func (b *Balancer) expectedTime(m *Member, id RouteID, now time.Time) time.Duration {
+	request := m.requestTime(id)
+	ahead := m.expectedWork(now) + time.Duration(1+len(b.peers))*m.sentWork
+	ahead += time.Duration(costFlow * float64(m.Load.OpenFlows) * float64(m.Load.ServiceTime))
+	t := ahead/time.Duration(max(1, m.Load.Slots)) + request
+	if m.Load.DomainID != b.domain {
+		t += otherDomainTime
+	}
+	if m.Load.WarmupLeft > now.Sub(m.ReportedAt) {
+		t += request
+	}
+	if !m.unansweredSince.IsZero() && now.Sub(m.unansweredSince) > unansweredAfter {
+		t += unansweredTime
+	}
+	return t
+}
+
+// candidates counts the members that were compared for a flow.
+type candidates struct{ local, remote int }
+
+// add reports whether a member is to be compared too.
+func (c *candidates) add(local bool) bool {
+	n := &c.remote
+	if local {
+		n = &c.local
+	}
+	*n++
+	return *n <= candidateLimit
+}
+
+// postponeSlow moves the fallbacks that are expected to answer much later than the best of a path to
+// its end. Sidecars that have too much work send the flow on to the first ones.
+func (b *Balancer) postponeSlow(path *Path, id RouteID, now time.Time) {
+	var times [RankingDepth]time.Duration
+	best := b.expectedTime(b.members[path.To], id, now)
+	for i, addr := range path.Fallbacks[:path.FallbackCount] {
+		times[i] = b.expectedTime(b.members[addr], id, now)
+		best = min(best, times[i])
+	}
+	var slow [RankingDepth]netip.AddrPort
+	n, postponed := 0, 0
+	for i, addr := range path.Fallbacks[:path.FallbackCount] {
+		if times[i] > muchLater*best {
+			slow[postponed] = addr
+			postponed++
+			continue
+		}
+		path.Fallbacks[n] = addr
+		n++
+	}
+	copy(path.Fallbacks[n:], slow[:postponed])
+}
+
+// SetPlacement changes when opening packets go to siblings: with PlaceByRequests, if too many requests
+// wait; with PlaceByExpectedTime, if a new request is expected to wait too long.
+func (s *Sidecar) SetPlacement(p Placement) { s.placement = p }
+
+// waitsTooLong reports whether a new request of a policy is expected to wait for a slot for so long
+// that a sibling may be faster. The balancer's choice rests on a report; this decision does not.
+func (s *Sidecar) waitsTooLong(policy *RequestPolicy, now time.Time) bool {
+	slots := max(1, s.slots())
+	if s.outstanding() < slots {
+		return false
+	}
+	limit := time.Duration(waitLimit * float64(s.pace.Pace(now)))
+	if policy.LatencyTarget > 0 {
+		limit = min(limit, policy.LatencyTarget)
+	}
+	return s.work(now)/time.Duration(slots) > limit
+}
--- a/flow/member.go
+++ b/flow/member.go
@@ -59,6 +59,10 @@
 	Work time.Duration
 	// ServiceTime is how long the upstream is expected to take for one request.
 	ServiceTime time.Duration
+	// OpenFlows is the number of the flows that have not ended.
+	OpenFlows uint16
+	// RouteCosts are the expected times for one request of the routes with the most requests.
+	RouteCosts [RouteCostCount]RouteCost
 	// Interval is the time until the next report if the state does not change.
 	Interval time.Duration
 }
@@ -71,6 +75,9 @@
 	ReportedAt time.Time
 	// SentSinceReport is the number of opening packets sent to the member since that report.
 	SentSinceReport uint16
+	// sentWork is how long the upstream is expected to take for the first requests of those flows.
+	// usualWork is the moving average of Load.Work.
+	sentWork, usualWork time.Duration
 	// unansweredSince is when an opening packet was first sent to the member since it last reported or
 	// confirmed a flow, or when a retransmission first showed that it left an earlier one unanswered.
 	// It is zero if neither has happened.
--- a/flow/placement.go
+++ b/flow/placement.go
@@ -20,7 +20,8 @@
 			m.unansweredSince = now
 		}
 	}
-	best := b.cheapest(r, hash, loc.addr, now)
+	id := routeID(p.Key.Service())
+	best := b.cheapest(r, hash, loc.addr, id, now)
 	if best == nil {
 		return b.refuseNoUpstream(p, now)
 	}
@@ -31,7 +32,12 @@
 			v.Path.add(m.Addr)
 		}
 	}
+	if b.placement == PlaceByExpectedTime {
+		v.Expected = b.expectedTime(best, id, now)
+		b.postponeSlow(&v.Path, id, now)
+	}
 	best.SentSinceReport++
+	best.sentWork += best.requestTime(id)
 	if best.unansweredSince.IsZero() {
 		best.unansweredSince = now
 	}
@@ -41,9 +47,10 @@
 
 // cheapest returns the member with the lowest cost among the ranked ones that accept new flows; nil
 // if there is none. The member at avoid is only returned if it is the only one.
-func (b *Balancer) cheapest(r *ranking, hash uint64, avoid netip.AddrPort, now time.Time) *Member {
+func (b *Balancer) cheapest(r *ranking, hash uint64, avoid netip.AddrPort, id RouteID, now time.Time) *Member {
 	var best, last *Member
 	var lowest float64
+	var compared candidates
 	for rank := range r.depth {
 		m := r.at(hash, rank)
 		if !m.acceptsFlows(now) {
@@ -53,7 +60,10 @@
 			last = m
 			continue
 		}
-		cost := m.cost(b.domain, now)
+		if b.placement == PlaceByExpectedTime && !compared.add(m.Load.DomainID == b.domain) {
+			continue
+		}
+		cost := b.cost(m, id, now)
 		if best == nil || cost < lowest {
 			best, lowest = m, cost
 		}
@@ -64,6 +74,14 @@
 	return best
 }
 
+// cost returns the cost of sending a new flow of a route to the member, in the unit of the placement.
+func (b *Balancer) cost(m *Member, id RouteID, now time.Time) float64 {
+	if b.placement == PlaceByExpectedTime {
+		return float64(b.expectedTime(m, id, now))
+	}
+	return m.cost(b.domain, now)
+}
+
 // The cost of a member is the number of requests per slot that are ahead of a new one, plus these
 // costs in the same unit.
 const (
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"greengagedyke/pace"
 )
 
 const (
@@ -114,6 +116,11 @@
 	awaitingAnswer bool
 	// requestStart is when the upstream got the newest request.
 	requestStart time.Time
+	// slotSince is since when the newest request has a slot of the upstream; zero if it waits for one.
+	slotSince time.Time
+	// route and size are what the cost of the newest request depends on.
+	route netip.AddrPort
+	size  pace.Size
 	// queued is set while a request waits in the queue.
 	queued bool
 	// retransmissions is the number of opening packets that came before the one that opened the
@@ -163,6 +170,9 @@
 	LatencyWait
 	// LatencyAnswer is the time from a request to the first byte of its answer.
 	LatencyAnswer
+	// LatencyCostError is the difference between the time that the upstream took for a request and
+	// the time that was expected.
+	LatencyCostError
 	latencyCount
 )
 
@@ -171,7 +181,7 @@
 
 // String returns the name of the latency's metric.
 func (l Latency) String() string {
-	return [...]string{"upstream.open", "request.wait", "upstream.answer"}[l]
+	return [...]string{"upstream.open", "request.wait", "upstream.answer", "request.cost-error"}[l]
 }
 
 // Sidecar decides what a sidecar does with the packets of callers and of its upstream, and answers
@@ -214,6 +224,11 @@
 	queue  Queue
 	// serviceTime is the moving average of the time from a request to the first byte of its answer.
 	serviceTime time.Duration
+	// running tracks the requests that the upstream has, and pace how long it takes for requests.
+	running running
+	pace    *pace.Estimator
+	// placement decides when opening packets go to siblings.
+	placement Placement
 	// pendingOpenings is the number of flows with pending set.
 	pendingOpenings int
 	// busy is the number of flows with awaitingAnswer set. Unlike Load.Busy, it does not include
@@ -237,6 +252,7 @@
 		flows:       map[Key]*flowState{},
 		probes:      map[Key]probe{},
 		serviceTime: defaultServiceTime,
+		pace:        pace.New(defaultServiceTime),
 		observe:     func(Latency, time.Duration) {},
 		idleTimeout: idleTimeout,
 	}
@@ -253,6 +269,7 @@
 	outcome := s.monitor.Heartbeat(hb, crashed || s.monitor.ending, now)
 	if outcome == HeartbeatStarted {
 		s.tag = TagOf(hb.Service)
+		s.pace = pace.New(defaultServiceTime)
 	}
 	if outcome == HeartbeatStarted && crashed {
 		s.loseAllFlows()
@@ -363,7 +380,7 @@
 // Load returns the sidecar's report, without Incarnation, Sequence, DomainID and Interval.
 func (s *Sidecar) Load(now time.Time) Load {
 	last := s.monitor.Last()
-	return Load{
+	l := Load{
 		Tag:           s.tag,
 		State:         s.State(now),
 		UpstreamEnded: s.UpstreamEnded(now),
@@ -372,6 +389,8 @@
 		Flows:         uint16(min(len(s.flows), 1<<16-1)),
 		WarmupLeft:    max(0, last.WarmupLeft-s.monitor.Age(now)),
 	}
+	s.addWork(&l, now)
+	return l
 }
 
 // OpeningPending reports whether an opening packet waits for the upstream's answer.
@@ -411,6 +430,7 @@
 	s.expireCalls++
 	for k, f := range s.flows {
 		if f.awaitingAnswer && now.Sub(f.requestStart) > max(f.policy.Timeout, defaultTimeout/2) {
+			s.observeUnfinished(f, now)
 			s.finishRequest(f)
 		}
 		age := now.Sub(f.lastUsed)
--- a/flow/upstream_packets.go
+++ b/flow/upstream_packets.go
@@ -58,7 +58,9 @@
 	}
 	if p.Length > 0 || p.Flags.Has(FlagEnd) {
 		s.recordAnswerTime(f, now)
+		s.observeAnswer(f, p, now)
 		s.finishRequest(f)
+		s.running.start(s.slots(), now)
 	}
 	if p.Flags.Has(FlagEnd) {
 		f.ended |= upstreamEnded
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -68,7 +68,10 @@
 	// origin.
 	pathSize   = 3 + 4 + policySize + 2 + addressSize
 	policySize = 1 + 2 + 2
-	loadSize   = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2 + 2 + 4 + 2
+	loadSize   = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2 + 2 + 4 + 2 + 2 + flow.RouteCostCount*routeCostSize
+	// routeCostSize is the length of a route's ID and its cost in units of costUnit.
+	routeCostSize = 4 + 2
+	costUnit      = 100 * time.Microsecond
 	// balancersSize is the length of a KindBalancers body without its infos.
 	balancersSize = 8 + 4
 	// MaxHead is the largest length of the header that AppendPacket appends.
@@ -184,7 +187,13 @@
 	b = binary.BigEndian.AppendUint16(b, l.WarmupRoom)
 	b = binary.BigEndian.AppendUint32(b, uint32(max(0, min(l.Work/time.Millisecond, math.MaxUint32))))
 	b = binary.BigEndian.AppendUint16(b, milliseconds(l.ServiceTime))
-	return binary.BigEndian.AppendUint16(b, milliseconds(l.Interval))
+	b = binary.BigEndian.AppendUint16(b, milliseconds(l.Interval))
+	b = binary.BigEndian.AppendUint16(b, l.OpenFlows)
+	for _, c := range l.RouteCosts {
+		b = binary.BigEndian.AppendUint32(b, uint32(c.Route))
+		b = binary.BigEndian.AppendUint16(b, uint16(max(0, min(c.Cost/costUnit, math.MaxUint16))))
+	}
+	return b
 }
 
 // ParseLoad parses the body of a KindLoad.
@@ -192,7 +201,7 @@
 	if len(b) < loadSize {
 		return flow.Load{}, ErrTruncated
 	}
-	return flow.Load{
+	l := flow.Load{
 		Incarnation:   binary.BigEndian.Uint64(b),
 		Sequence:      binary.BigEndian.Uint32(b[8:]),
 		Tag:           flow.Tag(binary.BigEndian.Uint32(b[12:])),
@@ -207,7 +216,16 @@
 		Work:          time.Duration(binary.BigEndian.Uint32(b[33:])) * time.Millisecond,
 		ServiceTime:   time.Duration(binary.BigEndian.Uint16(b[37:])) * time.Millisecond,
 		Interval:      time.Duration(binary.BigEndian.Uint16(b[39:])) * time.Millisecond,
-	}, nil
+		OpenFlows:     binary.BigEndian.Uint16(b[41:]),
+	}
+	for i := range l.RouteCosts {
+		c := b[loadSize-(flow.RouteCostCount-i)*routeCostSize:]
+		l.RouteCosts[i] = flow.RouteCost{
+			Route: flow.RouteID(binary.BigEndian.Uint32(c)),
+			Cost:  time.Duration(binary.BigEndian.Uint16(c[4:])) * costUnit,
+		}
+	}
+	return l, nil
 }
 
 // AppendFlowHeld appends a KindFlowHeld for flow k.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -51,6 +51,7 @@
 		Incarnation: 1 << 60, Sequence: 9, Tag: 7, DomainID: 5, State: flow.StateLeaving, UpstreamEnded: true,
 		Slots: 2, Busy: 3, Flows: 400, WarmupLeft: 1500 * time.Millisecond,
 		WarmupRoom: 11, Work: 70 * time.Second, ServiceTime: 35 * time.Millisecond, Interval: 250 * time.Millisecond,
+		OpenFlows: 300, RouteCosts: [flow.RouteCostCount]flow.RouteCost{{Route: 7, Cost: 4200 * time.Microsecond}},
 	}
 	got, err := peer.ParseLoad(body(t, peer.AppendLoad(nil, &want), peer.KindLoad))
 	if err != nil || got != want {
