Merge expected times and placement; refuse flows that can't be served

Change: the queue, the reports and the admission use the learned costs of package pace; admission decides about opening packets in flow/admission.go, where a sidecar enables it.

--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -86,6 +86,8 @@
 	// ReasonEvacuated: the failure domain is evacuated, or no sidecar of the service outside of evacuated
 	// failure domains accepts new flows.
 	ReasonEvacuated
+	// ReasonOverload: the first request of the flow could not be answered before its caller gives up.
+	ReasonOverload
 	reasonCount
 )
 
@@ -96,7 +98,7 @@
 func (r Reason) String() string {
 	names := [...]string{
 		"none", "no-route", "no-upstream", "placed", "placed-again", "known", "search", "unknown-flow",
-		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost", "queued", "lost", "stale", "too-many-lookups", "warming-up", "evacuated",
+		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost", "queued", "lost", "stale", "too-many-lookups", "warming-up", "evacuated", "overload",
 	}
 	return names[r]
 }
@@ -134,6 +136,9 @@
 	Action Action
 	Reason Reason
 	Path   Path
+	// Expected is how long the answer to the first request of a new flow is expected to take; only set
+	// by PlaceByExpectedTime.
+	Expected time.Duration
 	// Buffer means that the packet has to be passed to BufferPacket, since its flow is being looked
 	// up.
 	Buffer bool
@@ -164,7 +169,8 @@
 // not safe for concurrent use.
 type Balancer struct {
 	// domain is the ID of this balancer's failure domain.
-	domain uint32
+	domain    uint32
+	placement Placement
 	// cfg is the configuration in force; its version is 0 before there is one.
 	cfg *Configuration
 	// members holds the sidecars that report to this balancer, by address.
@@ -276,6 +282,7 @@
 		b.dropRankings(m.Load.Tag)
 		b.dropRankings(l.Tag)
 	}
+	m.recordWork(&l)
 	m.Load = l
 	m.ReportedAt = now
 	m.SentSinceReport = 0
--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -54,7 +54,11 @@
 	if !f.queued && (s.busy < s.requestLimit() || s.monitor.Last().Slots == 0) && s.queue.Len() == 0 {
 		return false
 	}
-	if !s.queue.add(&tp.Packet, tp.Raw, f.policy, openingAge(f.retransmissions), s.serviceTime, now) {
+	if !f.queued {
+		f.describeRequest(&tp.Packet)
+	}
+	cost := s.pace.Expect(f.route, f.size, now)
+	if !s.queue.add(&tp.Packet, tp.Raw, f.policy, openingAge(f.retransmissions), cost, now) {
 		return f.queued
 	}
 	s.commitments.Remove(tp.Packet.Key)
@@ -121,6 +125,7 @@
 	f.requestStart = now
 	f.retransmissions = 0
 	s.busy++
+	s.running.begin(f, s.slots(), now)
 }
 
 // ackMatches reports whether a caller's acknowledgement number is in the range of what the upstream
@@ -139,6 +144,7 @@
 	f.lastUsed = now
 	if p.Length > 0 && !f.awaitingAnswer && f.ended == 0 && !f.isRetransmission(p) {
 		s.commitments.Remove(p.Key)
+		f.describeRequest(p)
 		s.beginRequest(f, now)
 	}
 	f.advance(p)
@@ -165,6 +171,7 @@
 	if f.awaitingAnswer {
 		f.awaitingAnswer = false
 		s.busy--
+		s.running.end(f)
 	}
 }
 
@@ -218,9 +225,8 @@
 		s.warmup.record(now)
 		return SidecarVerdict{Action: ActionUpstream, Reason: ReasonPlacedAgain}
 	}
-	// At most two overloaded sidecars forward the packet.
-	if tp.Hop < tp.Path.FallbackCount && tp.Hop < 2 && s.overloaded() {
-		return forwardToSibling(tp, ReasonUpstreamBusy)
+	if v, ok := s.turnAway(tp, now); ok {
+		return v
 	}
 	if ok {
 		s.removeFlow(tp.Packet.Key, f)
@@ -230,13 +236,16 @@
 		retransmissions: tp.Packet.Retransmissions(), policy: tp.Path.Policy,
 	}
 	s.pendingOpenings++
-	s.commitments.Add(tp.Packet.Key, tp.Path.Policy.Priority, s.serviceTime, now)
+	s.admit(tp, now)
 	s.warmup.record(now)
 	return SidecarVerdict{Action: ActionUpstream, Reason: ReasonPlaced}
 }
 
 // overloaded reports whether so many requests wait that a sibling may be faster.
-func (s *Sidecar) overloaded() bool {
+func (s *Sidecar) overloaded(policy *RequestPolicy, now time.Time) bool {
+	if s.placement == PlaceByExpectedTime {
+		return s.waitsTooLong(policy, now)
+	}
 	slots := max(1, s.monitor.Last().Slots)
 	return s.outstanding() >= slots*(1+queuedPerSlot)
 }
--- a/flow/placement.go
+++ b/flow/placement.go
@@ -26,13 +26,19 @@
 			m.unansweredSince = now
 		}
 	}
-	best := b.cheapest(r, hash, loc.addr, path.WarmupRate, now)
+	id := routeID(p.Key.Service())
+	best := b.cheapest(r, hash, loc.addr, id, path.WarmupRate, now)
 	if best == nil {
 		return b.refuseNoUpstream(p, path.Tag, now)
 	}
 	v.Path.To = best.Addr
 	b.addFallbacks(&v.Path, r, hash, best, now)
+	if b.placement == PlaceByExpectedTime {
+		v.Expected = b.expectedTime(best, id, now)
+		b.postponeSlow(&v.Path, id, now)
+	}
 	best.SentSinceReport++
+	best.sentWork += best.requestTime(id)
 	if best.unansweredSince.IsZero() {
 		best.unansweredSince = now
 	}
@@ -64,9 +70,10 @@
 // cheapest returns the member with the lowest cost among the ranked ones that accept new flows; nil
 // if there is none. Only if there are no others, it returns one without room under the warm-up rate,
 // or else the one at avoid.
-func (b *Balancer) cheapest(r *ranking, hash uint64, avoid netip.AddrPort, warmupRate uint16, now time.Time) *Member {
+func (b *Balancer) cheapest(r *ranking, hash uint64, avoid netip.AddrPort, id RouteID, warmupRate uint16, now time.Time) *Member {
 	var best, full, last *Member
 	var lowest float64
+	var compared candidates
 	for rank := range r.depth {
 		m := r.at(hash, rank)
 		if !m.acceptsFlows(now) {
@@ -82,7 +89,10 @@
 			}
 			continue
 		}
-		cost := m.cost(b.domain, now)
+		if b.placement == PlaceByExpectedTime && !compared.add(m.Load.DomainID == b.domain) {
+			continue
+		}
+		cost := b.cost(m, id, now)
 		if best == nil || cost < lowest {
 			best, lowest = m, cost
 		}
@@ -96,6 +106,14 @@
 	return last
 }
 
+// cost returns the cost of sending a new flow of a route to the member, in the unit of the placement.
+func (b *Balancer) cost(m *Member, id RouteID, now time.Time) float64 {
+	if b.placement == PlaceByExpectedTime {
+		return float64(b.expectedTime(m, id, now))
+	}
+	return m.cost(b.domain, now)
+}
+
 // The cost of a member is the number of requests per slot that are ahead of a new one, plus these
 // costs in the same unit.
 const (
--- a/flow/queue.go
+++ b/flow/queue.go
@@ -91,9 +91,3 @@
 // DroppedRequests returns how many queued requests were dropped, since they could not be answered any
 // more before their callers give up.
 func (s *Sidecar) DroppedRequests() uint64 { return s.queue.dropped }
-
-// work returns the time that the upstream is expected to need for the requests that it has, those
-// that are queued, and those of flows that were opened and whose first request has not arrived.
-func (s *Sidecar) work() time.Duration {
-	return time.Duration(s.busy)*s.serviceTime + s.queue.Work() + s.commitments.Work()
-}
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"greengagedyke/pace"
 	"greengagedyke/schedule"
 )
 
@@ -38,9 +39,8 @@
 	// spareRequests is the number of requests that an upstream gets beyond its slots, so that no
 	// slot idles while an answer and the next request are on their way.
 	spareRequests = 1
-	// serviceTimeGain is the weight of a new value in the moving average serviceTime.
-	serviceTimeGain = 0.05
-	// defaultServiceTime is the initial value of serviceTime.
+	// defaultServiceTime is how long the upstream is expected to take for a request before it has
+	// answered some.
 	defaultServiceTime = 20 * time.Millisecond
 	// probeLimit bounds the probes that a call of Expire keeps.
 	probeLimit = 10_000
@@ -116,6 +116,11 @@
 	awaitingAnswer bool
 	// requestStart is when the upstream got the newest request.
 	requestStart time.Time
+	// slotSince is since when the newest request has a slot of the upstream; zero if it waits for one.
+	slotSince time.Time
+	// route and size are what the cost of the newest request depends on.
+	route netip.AddrPort
+	size  pace.Size
 	// queued is set while a request waits in the queue.
 	queued bool
 	// retransmissions is the number of opening packets that came before the one that opened the
@@ -165,6 +170,9 @@
 	LatencyWait
 	// LatencyAnswer is the time from a request to the first byte of its answer.
 	LatencyAnswer
+	// LatencyCostError is the difference between the time that the upstream took for a request and
+	// the time that was expected.
+	LatencyCostError
 	latencyCount
 )
 
@@ -173,7 +181,7 @@
 
 // String returns the name of the latency's metric.
 func (l Latency) String() string {
-	return [...]string{"upstream.open", "request.wait", "upstream.answer"}[l]
+	return [...]string{"upstream.open", "request.wait", "upstream.answer", "request.cost-error"}[l]
 }
 
 // Sidecar decides what a sidecar does with the packets of callers and of its upstream, and answers
@@ -218,9 +226,13 @@
 	queue  Queue
 	// commitments are the flows that were opened and whose first request has not arrived.
 	commitments schedule.Commitments[Key]
+	admission   admission
 	warmup      warmupLimit
-	// serviceTime is the moving average of the time from a request to the first byte of its answer.
-	serviceTime time.Duration
+	// running tracks the requests that the upstream has, and pace how long it takes for requests.
+	running running
+	pace    *pace.Estimator
+	// placement decides when opening packets go to siblings.
+	placement Placement
 	// pendingOpenings is the number of flows with pending set.
 	pendingOpenings int
 	// busy is the number of flows with awaitingAnswer set. Unlike Load.Busy, it does not include
@@ -248,7 +260,7 @@
 		started:     now,
 		flows:       map[Key]*flowState{},
 		probes:      map[Key]probe{},
-		serviceTime: defaultServiceTime,
+		pace:        pace.New(defaultServiceTime),
 		observe:     func(Latency, time.Duration) {},
 		idleTimeout: idleTimeout,
 		warmup:      warmupLimit{countedSince: now},
@@ -268,6 +280,9 @@
 		s.tag = tag
 		s.warmup.rate = 0 // it was the rate of the other service
 	}
+	if outcome == HeartbeatStarted {
+		s.pace = pace.New(defaultServiceTime)
+	}
 	if outcome == HeartbeatStarted && crashed {
 		s.loseAllFlows()
 	}
@@ -382,19 +397,18 @@
 // Load returns the sidecar's report, without Incarnation, Sequence, DomainID and Interval.
 func (s *Sidecar) Load(now time.Time) Load {
 	last := s.monitor.Last()
-	s.commitments.Expire(now)
-	return Load{
+	l := Load{
 		Tag:           s.tag,
 		State:         s.State(now),
 		UpstreamEnded: s.UpstreamEnded(now),
 		Slots:         uint16(max(0, min(last.Slots, 1<<16-1))),
 		Busy:          uint16(min(s.outstanding(), 1<<16-1)),
 		Flows:         uint16(min(len(s.flows), 1<<16-1)),
-		Work:          s.work(),
-		ServiceTime:   s.serviceTime,
 		WarmupLeft:    s.warmupLeft(now),
 		WarmupRoom:    s.warmup.room(now),
 	}
+	s.addWork(&l, now)
+	return l
 }
 
 // OpeningPending reports whether an opening packet waits for the upstream's answer.
@@ -437,6 +451,7 @@
 	s.expireEvacuations(now)
 	for k, f := range s.flows {
 		if f.awaitingAnswer && now.Sub(f.requestStart) > max(f.policy.Timeout, defaultTimeout/2) {
+			s.observeUnfinished(f, now)
 			s.finishRequest(f)
 		}
 		age := now.Sub(f.lastUsed)
--- a/flow/upstream_packets.go
+++ b/flow/upstream_packets.go
@@ -58,7 +58,9 @@
 	}
 	if p.Length > 0 || p.Flags.Has(FlagEnd) {
 		s.recordAnswerTime(f, now)
+		s.observeAnswer(f, p, now)
 		s.finishRequest(f)
+		s.running.start(s.slots(), now)
 	}
 	if p.Flags.Has(FlagEnd) {
 		f.ended |= upstreamEnded
@@ -78,11 +80,10 @@
 	}
 }
 
-// recordAnswerTime updates serviceTime when a request is answered.
+// recordAnswerTime records how long a request waited for its answer.
 func (s *Sidecar) recordAnswerTime(f *flowState, now time.Time) {
 	if f.awaitingAnswer && !f.requestStart.IsZero() {
 		s.observe(LatencyAnswer, now.Sub(f.requestStart))
-		s.serviceTime += time.Duration(serviceTimeGain * float64(now.Sub(f.requestStart)-s.serviceTime))
 	}
 }
 
