Evacuate and restore failure domains on the QUIC path

Change: the evacuated failure domains are part of the configuration and travel with it. Operators change them with 'evacuate' and 'restore' (PUT /v1/evacuation, compare-and-swap, tried again if another change comes first); 'apply' keeps them. Balancers leave sidecars there out of the tables for first flights. Sidecars there refuse new connections, offers, late starts of granted offers and streams, and offer the requests of their open connections to siblings elsewhere. If there are none, requests are refused as not run, with a time to retry. What runs goes on. 'status', 'diff', 'get', 'watch' and 'timeline' show evacuations.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,6 +59,9 @@
 type cachedTable struct {
 	candidates service.Candidates
 	table      *service.Table
+	// evacuated is set if there are sidecars that accept new connections, but only in evacuated failure
+	// domains.
+	evacuated bool
 }
 
 // Run runs a balancer until ctx ends. The balancer then announces that it is leaving and keeps
@@ -243,11 +247,11 @@
 	var bindings fabric.Bindings
 	for i := range cfg.Services {
 		svc := &cfg.Services[i]
-		table, rebuilt := b.tableFor(svc, services[svc.Name])
+		table, rebuilt := b.tableFor(svc, services[svc.Name], cfg.EvacuatedDomains)
 		changed = changed || rebuilt
 		bindings = append(bindings, fabric.Binding{
 			Address: b.bindAddress(svc),
-			Decider: &fabric.Decider{Tag: svc.Tag(), Codec: b.keys.Codec, Table: table},
+			Decider: &fabric.Decider{Tag: svc.Tag(), Codec: b.keys.Codec, Table: table.table, Evacuated: table.evacuated},
 			Sealer:  b.keys.Sealer,
 		})
 	}
@@ -257,6 +261,7 @@
 		return
 	}
 	err := b.forwarder.Apply(bindings, b.keys.Sealer)
+	b.node.SetEvacuated(cfg.EvacuatedDomains, cfg.Revision) // also if an address could not be bound
 	b.applyFailed = err != nil
 	if err != nil {
 		b.log.Error("configuration-not-in-force", "revision", cfg.Revision, "error", err.Error())
@@ -289,19 +294,32 @@
 
 // tableFor returns the first-flight table of a service and reports whether it was rebuilt. It is
 // rebuilt only if the sidecars that accept new connections, or their weights, have changed.
-func (b *Balancer) tableFor(svc *service.Service, members []member.ObservedRecord) (*service.Table, bool) {
-	var candidates service.Candidates
+func (b *Balancer) tableFor(svc *service.Service, members []member.ObservedRecord, evacuatedDomains []string) (cachedTable, bool) {
+	candidates, evacuated := candidatesOf(svc, members, evacuatedDomains)
+	old, ok := b.tables[svc.Name]
+	if evacuated != old.evacuated {
+		b.log.Warn("service-evacuated", "service", svc.Name, "evacuated", evacuated)
+	}
+	if ok && candidates.Equal(old.candidates) && evacuated == old.evacuated {
+		return old, false
+	}
+	t := cachedTable{candidates: candidates, table: service.NewTable(candidates), evacuated: evacuated}
+	b.tables[svc.Name] = t
+	return t, true
+}
+
+// candidatesOf returns the sidecars of a service that may get new connections. If there are none
+// because all of them are in evacuated failure domains, evacuated is set.
+func candidatesOf(svc *service.Service, members []member.ObservedRecord, evacuatedDomains []string) (candidates service.Candidates, evacuated bool) {
 	for _, o := range members {
 		if o.State != member.StateReady || o.Weight <= 0 || !svc.Upstreams.Allows(o.Identity, o.FailureDomain) {
 			continue
 		}
+		if slices.Contains(evacuatedDomains, o.FailureDomain) {
+			evacuated = true
+			continue
+		}
 		candidates = append(candidates, service.Candidate{Addr: o.Tunnel, Incarnation: o.Incarnation, Weight: o.Weight})
 	}
-	old, ok := b.tables[svc.Name]
-	if ok && candidates.Equal(old.candidates) {
-		return old.table, false
-	}
-	table := service.NewTable(candidates)
-	b.tables[svc.Name] = cachedTable{candidates: candidates, table: table}
-	return table, true
+	return candidates, evacuated && len(candidates) == 0
 }
--- a/caller/request.go
+++ b/caller/request.go
@@ -39,6 +39,8 @@
 // serve dispatches one request of a caller and writes its response.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.requests.Inc(1)
+	s.openRequests.Inc(1)
+	defer s.openRequests.Dec(1)
 	request, err := s.parseRequest(r)
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, problemBadRequest, err.Error(), outcomeNotRun, 0)
@@ -46,6 +48,9 @@
 	}
 	sink := &responseSink{w: w}
 	outcome := s.Dispatcher.Dispatch(r.Context(), request, sink)
+	if outcome.Verdict == work.VerdictNotRun && outcome.Reason == work.ReasonEvacuated {
+		s.refusals.log(s.Log, "request", s.refusals.requests)
+	}
 	s.writeOutcome(w, sink, outcome)
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -57,7 +57,10 @@
 	// Handshakes is the number of handshakes per second above which QUIC validates the caller's
 	// address first.
 	Handshakes int
-	Registry   metrics.Registry
+	// Evacuated reports whether new connections are refused because the failure domain is evacuated;
+	// open connections are kept.
+	Evacuated func() bool
+	Registry  metrics.Registry
 }
 
 // Server accepts requests from callers, has them dispatched and writes the responses.
@@ -69,6 +72,9 @@
 	done               chan struct{} // closed when accept has returned
 	addressValidations metrics.Counter
 	requests           metrics.Counter
+	// connections and openRequests are the numbers of open connections and of unanswered requests.
+	connections, openRequests metrics.Counter
+	refusals                  refusals
 }
 
 // idGenerator adapts ConnectionIDs to quic.ConnectionIDGenerator.
@@ -93,6 +99,9 @@
 		done:               make(chan struct{}),
 		addressValidations: metrics.NewRegisteredCounter("caller.address-validations", o.Registry),
 		requests:           metrics.NewRegisteredCounter("caller.requests", o.Registry),
+		connections:        metrics.NewRegisteredCounter("caller.connections", o.Registry),
+		openRequests:       metrics.NewRegisteredCounter("caller.open-requests", o.Registry),
+		refusals:           newRefusals(o.Registry),
 	}
 	resetKey := quic.StatelessResetKey(sha256.Sum256(append([]byte("greengagedyke stateless-reset "), o.ResetSecret...)))
 	handshakes := rate.NewLimiter(rate.Limit(o.Handshakes), o.Handshakes)
@@ -113,12 +122,13 @@
 		KeepAlivePeriod:    keepAlive,
 		MaxIncomingStreams: maxStreams,
 	}
+	cfg.GetConfigForClient = s.refuseIfEvacuated(cfg.Clone())
 	listener, err := s.transport.Listen(http3.ConfigureTLSConfig(o.TLS), cfg)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "caller.New")
 	}
 	s.listener = listener
-	s.server = &http3.Server{Handler: http.HandlerFunc(s.serve)}
+	s.server = &http3.Server{Handler: http.HandlerFunc(s.serve), ConnContext: s.countConnection}
 	go s.accept()
 	return s, s.close, nil
 }
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,6 +51,8 @@
 type testServer struct {
 	url   string
 	roots *x509.CertPool
+	// evacuated makes the server refuse new connections.
+	evacuated atomic.Bool
 }
 
 func newTestServer(t testing.TB, f dispatchFunc) *testServer {
@@ -70,16 +73,17 @@
 	}
 	t.Cleanup(func() { conn.Close() })
 	routes := service.Routes{{PathPrefix: "/", Class: service.ClassIdempotent, Deadline: service.Duration(5 * time.Second)}}
+	s := &testServer{url: fmt.Sprintf("https://%s/", conn.LocalAddr()), roots: roots}
 	_, stop, err := New(Options{
 		Log: slog.New(slog.DiscardHandler), Conn: conn, IDs: &countingIDs{},
 		TLS: &tls.Config{Certificates: []tls.Certificate{pair}}, ResetSecret: []byte("secret"),
-		Routes: func() service.Routes { return routes }, Dispatcher: f, Handshakes: 1 << 20, Registry: metrics.NewRegistry(),
+		Routes: func() service.Routes { return routes }, Dispatcher: f, Handshakes: 1 << 20, Evacuated: s.evacuated.Load, Registry: metrics.NewRegistry(),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(stop)
-	return &testServer{url: fmt.Sprintf("https://%s/", conn.LocalAddr()), roots: roots}
+	return s
 }
 
 func (s *testServer) client(udp net.PacketConn) *http3.Transport {
--- a/cmd/greengagedyke/diff.go
+++ b/cmd/greengagedyke/diff.go
@@ -33,7 +33,10 @@
 	if err != nil {
 		return err
 	}
-	wanted := &service.Configuration{Services: services}
+	for _, domain := range current.EvacuatedDomains {
+		fmt.Printf("evacuated: %s (apply keeps it)\n", domain)
+	}
+	wanted := &service.Configuration{Services: services, EvacuatedDomains: current.EvacuatedDomains}
 	if err := wanted.Validate(); err != nil {
 		return err
 	}
--- a/cmd/greengagedyke/main.go
+++ b/cmd/greengagedyke/main.go
@@ -43,6 +43,8 @@
 		{"sidecar", sidecarShort, sidecarUsage, &sidecarCommand{}},
 		{"check", checkShort, checkUsage, &checkCommand{}},
 		{"apply", applyShort, applyUsage, &applyCommand{}},
+		{"evacuate", evacuateShort, evacuateUsage, &evacuateCommand{}},
+		{"restore", restoreShort, restoreUsage, &restoreCommand{}},
 		{"get", getShort, getUsage, &getCommand{}},
 		{"diff", diffShort, diffUsage, &diffCommand{}},
 		{"watch", watchShort, watchUsage, &watchCommand{}},
--- a/cmd/greengagedyke/status.go
+++ b/cmd/greengagedyke/status.go
@@ -33,6 +33,9 @@
 	if len(s.Behind) > 0 {
 		fmt.Printf("missing: %s\n", strings.Join(s.Behind, ", "))
 	}
+	if len(s.EvacuatedDomains) > 0 {
+		fmt.Printf("evacuated: %s\n", strings.Join(s.EvacuatedDomains, ", "))
+	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(w, "IDENTITY\tSERVICE\tFAILURE DOMAIN\tSTATE\tMISSED BY")
 	for _, m := range s.Members {
--- a/cmd/greengagedyke/timeline.go
+++ b/cmd/greengagedyke/timeline.go
@@ -24,7 +24,7 @@
 	apiOptions
 	Request  string        `long:"request" value-name:"KEY" description:"only events about the request with this idempotency key"`
 	Upstream string        `long:"upstream" value-name:"IDENTITY" description:"only events that this process recorded or that are about this upstream"`
-	Kind     string        `long:"kind" description:"only events of this kind: configuration-in-force, member-state, member-silent or request"`
+	Kind     string        `long:"kind" description:"only events of this kind: configuration-in-force, evacuation, member-state, member-silent or request"`
 	Revision uint64        `long:"revision" description:"only events about this revision of the configuration"`
 	Since    time.Duration `long:"since" description:"only events that are not older than this duration, such as 90s"`
 	JSON     bool          `long:"json" description:"print the events as one JSON object"`
--- a/cmd/greengagedyke/watch.go
+++ b/cmd/greengagedyke/watch.go
@@ -42,12 +42,24 @@
 		}
 		fmt.Printf("revision %d\n", cfg.Revision)
 		printDelta(service.Diff(seen, cfg))
+		printEvacuations(seen, cfg)
 		seen = cfg
 		n++
 	}
 	return nil
 }
 
+// printEvacuations prints the failure domains that were evacuated or restored between two revisions.
+func printEvacuations(old, cfg *service.Configuration) {
+	evacuated, restored := service.CompareEvacuations(old.EvacuatedDomains, cfg.EvacuatedDomains)
+	for _, domain := range evacuated {
+		fmt.Printf("  evacuate %s\n", domain)
+	}
+	for _, domain := range restored {
+		fmt.Printf("  restore %s\n", domain)
+	}
+}
+
 // printDelta prints the names of added, changed and deleted services.
 func printDelta(d service.Delta) {
 	for _, s := range d.Put {
--- a/control/node.go
+++ b/control/node.go
@@ -32,6 +32,8 @@
 	history *service.History
 	// inForce is the revision that this process acts on.
 	inForce uint64
+	// evacuated are the evacuated failure domains that this process acts on.
+	evacuated []string
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	// senders are the processes that announce themselves to this balancer, by identity.
@@ -165,7 +167,8 @@
 }
 
 // deltaFor returns the delta in JSON from revision to the newest configuration, or nil if there is
-// none. The delta for a sidecar contains only its service svc and the keys.
+// none. The delta for a sidecar contains only its service svc, the keys and the evacuated failure
+// domains.
 func (n *Node) deltaFor(revision uint64, role member.Role, svc string) []byte {
 	if revision >= n.history.Current().Revision {
 		return nil
@@ -254,3 +257,20 @@
 	defer n.mu.Unlock()
 	return n.view.HasLeft(identity, incarnation)
 }
+
+// SetEvacuated records the evacuated failure domains that this process acts on since a revision, and
+// logs each one that was evacuated or restored.
+func (n *Node) SetEvacuated(domains []string, revision uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	evacuated, restored := service.CompareEvacuations(n.evacuated, domains)
+	n.evacuated = domains
+	for _, domain := range evacuated {
+		n.log.Info("failure-domain-evacuated", "failure-domain", domain, "revision", revision)
+		n.ring.Add(timeline.Event{Kind: timeline.KindEvacuation, Revision: revision, Detail: "evacuated " + domain})
+	}
+	for _, domain := range restored {
+		n.log.Info("failure-domain-restored", "failure-domain", domain, "revision", revision)
+		n.ring.Add(timeline.Event{Kind: timeline.KindEvacuation, Revision: revision, Detail: "restored " + domain})
+	}
+}
--- a/fabric/decide.go
+++ b/fabric/decide.go
@@ -28,6 +28,9 @@
 	DropReasonForeign
 	// DropReasonNoUpstream means that no upstream of the service accepts new connections.
 	DropReasonNoUpstream
+	// DropReasonEvacuated means that all upstreams of the service that accept new connections are in
+	// evacuated failure domains.
+	DropReasonEvacuated
 	// DropReasonUnauthentic means that a tunnel datagram failed authentication.
 	DropReasonUnauthentic
 	// DropReasonUnknownService means that a tunnel datagram is of a service that this balancer
@@ -40,7 +43,7 @@
 
 var dropReasonNames = [dropReasonCount]string{
 	"none", "truncated", "malformed", "oversized", "foreign",
-	"no-upstream", "unauthentic", "unknown-service", "send",
+	"no-upstream", "evacuated", "unauthentic", "unknown-service", "send",
 }
 
 // String returns the name of the reason in metrics.
@@ -66,6 +69,9 @@
 	Codec *quiclb.Codec
 	// Table chooses the sidecar of a first flight.
 	Table *service.Table
+	// Evacuated is set if all upstreams that accept new connections are in evacuated failure domains.
+	// Table is then empty.
+	Evacuated bool
 }
 
 // Scratch is the buffer in which Decide decrypts a connection ID. Each goroutine needs its own.
@@ -92,7 +98,10 @@
 		return Destination{}, DropReasonForeign
 	}
 	c, ok := d.Table.Lookup(h.ConnectionID)
-	if !ok {
+	switch {
+	case !ok && d.Evacuated:
+		return Destination{}, DropReasonEvacuated
+	case !ok:
 		return Destination{}, DropReasonNoUpstream
 	}
 	return Destination{Sidecar: c.Addr, Incarnation: uint16(c.Incarnation), FirstFlight: true}, DropReasonNone
--- a/operator/api.go
+++ b/operator/api.go
@@ -77,6 +77,7 @@
 	a := &API{log: log, store: store, node: node, queries: queries, token: token, mux: http.NewServeMux()}
 	a.mux.HandleFunc("PUT /v1/configuration", a.applyConfiguration)
 	a.mux.HandleFunc("GET /v1/configuration", a.getConfiguration)
+	a.mux.HandleFunc("PUT /v1/evacuation", a.changeEvacuation)
 	a.mux.HandleFunc("GET /v1/watch", a.watchConfiguration)
 	a.mux.HandleFunc("GET /v1/status", a.getStatus)
 	a.mux.HandleFunc("GET /v1/timeline", a.getTimeline)
@@ -163,21 +164,19 @@
 	return request, nil
 }
 
-// replaceConfiguration writes cfg to the store, with the current keys if cfg has none. It returns a
+// replaceConfiguration writes cfg to the store, with the current keys if cfg has none and with the
+// current evacuations, which declarations do not contain. It returns a
 // *platform.ConflictError if the current revision is not that of the If-Revision header of r, or
 // changes during the call. A header that is not a number is ignored.
 func (a *API) replaceConfiguration(r *http.Request, cfg *service.Configuration) error {
-	stored, err := a.store.Read(r.Context())
+	stored, current, err := a.readCurrent(r.Context())
 	if err != nil {
 		return err
 	}
-	current := stored
-	if known := a.node.Configuration(); known.Revision > stored.Revision {
-		current = known // the store was restored from an older copy
-	}
 	if len(cfg.Keys) == 0 {
 		cfg.Keys = current.Keys
 	}
+	cfg.EvacuatedDomains = current.EvacuatedDomains
 	expected, err := strconv.ParseUint(r.Header.Get(ifRevisionHeader), 10, 64)
 	if err != nil {
 		expected = current.Revision
@@ -185,7 +184,21 @@
 	if expected != current.Revision {
 		return &platform.ConflictError{Revision: current.Revision}
 	}
-	return a.store.Write(r.Context(), cfg, stored.Revision)
+	return a.store.Write(r.Context(), cfg, stored)
+}
+
+// readCurrent returns the revision in the store, and the current configuration: the stored one, or the
+// node's if the store was restored from an older copy and has lost it.
+func (a *API) readCurrent(ctx context.Context) (stored uint64, current *service.Configuration, err error) {
+	current, err = a.store.Read(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	stored = current.Revision
+	if known := a.node.Configuration(); known.Revision > stored {
+		current = known
+	}
+	return stored, current, nil
 }
 
 // writeError responds with the status code and the problem for err.
@@ -214,8 +227,10 @@
 // Status is a balancer's view of the configuration and of all processes.
 type Status struct {
 	// Revision is the balancer's newest revision of the configuration.
-	Revision uint64         `json:"revision"`
-	Members  []MemberStatus `json:"members"`
+	Revision uint64 `json:"revision"`
+	// EvacuatedDomains are the evacuated failure domains in that revision.
+	EvacuatedDomains []string       `json:"evacuated-domains,omitempty"`
+	Members          []MemberStatus `json:"members"`
 	// InForce is the number of processes that act on Revision or a later one.
 	InForce int `json:"in-force"`
 	// Total is the number of processes that report their revision.
@@ -241,7 +256,8 @@
 
 // getStatus responds with a Status.
 func (a *API) getStatus(w http.ResponseWriter, r *http.Request) {
-	s := Status{Revision: a.node.Configuration().Revision}
+	cfg := a.node.Configuration()
+	s := Status{Revision: cfg.Revision, EvacuatedDomains: cfg.EvacuatedDomains}
 	summary := a.queries.RevisionStatus(r.Context(), s.Revision)
 	s.InForce = summary.InForce
 	s.Total = summary.Total
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -22,6 +22,8 @@
 	cfg service.Configuration
 	// down makes every call fail with platform.ErrUnavailable.
 	down bool
+	// conflicts is the number of writes before which another change comes.
+	conflicts int
 }
 
 // Read implements Store.
@@ -35,6 +37,10 @@
 
 // Write implements Store.
 func (m *memoryStore) Write(_ context.Context, cfg *service.Configuration, expected uint64) error {
+	if m.conflicts > 0 {
+		m.conflicts--
+		m.cfg.Revision++
+	}
 	switch {
 	case m.down:
 		return platform.ErrUnavailable
--- a/service/configuration.go
+++ b/service/configuration.go
@@ -45,10 +45,13 @@
 	WriteID  string   `json:"write-id"`
 	Services Services `json:"services"`
 	Keys     []Key    `json:"keys"`
+	// EvacuatedDomains are the failure domains whose upstreams get no new work, in sorted order. They
+	// are not part of the declared services: applying declarations keeps them.
+	EvacuatedDomains []string `json:"evacuated-domains,omitempty"`
 }
 
-// Validate checks each service, that no two share a name, address or tag, and the keys. It returns
-// a *FieldError for the first problem.
+// Validate checks each service, that no two share a name, address or tag, the keys and the evacuated failure
+// domains. It returns a *FieldError for the first problem.
 func (c *Configuration) Validate() error {
 	names := map[string]bool{}
 	addresses := map[string]string{}
@@ -72,7 +75,10 @@
 		addresses[s.Address.String()] = s.Name
 		tags[s.Tag()] = s.Name
 	}
-	return c.validateKeys()
+	if err := c.validateKeys(); err != nil {
+		return err
+	}
+	return c.validateEvacuations()
 }
 
 // validateKeys checks the keys. At most two are allowed: a rotation needs an old and a new one.
--- a/service/delta.go
+++ b/service/delta.go
@@ -23,6 +23,9 @@
 	Deleted []string `json:"deleted,omitempty"`
 	// Keys are all keys of the resulting configuration, or nil if they have not changed.
 	Keys []Key `json:"keys,omitempty"`
+	// EvacuatedDomains are all evacuated failure domains of the resulting configuration, or nil if
+	// they have not changed; in a whole configuration nil means none.
+	EvacuatedDomains *[]string `json:"evacuated-domains,omitempty"`
 }
 
 // ErrOtherBase means that Delta.Base is not the revision of the configuration to be changed.
@@ -30,7 +33,11 @@
 
 // FullDelta returns a delta that contains all of cfg.
 func FullDelta(cfg *Configuration) Delta {
-	return Delta{Revision: cfg.Revision, WriteID: cfg.WriteID, Put: cfg.Services, Keys: cfg.Keys}
+	d := Delta{Revision: cfg.Revision, WriteID: cfg.WriteID, Put: cfg.Services, Keys: cfg.Keys}
+	if len(cfg.EvacuatedDomains) > 0 {
+		d.EvacuatedDomains = &cfg.EvacuatedDomains
+	}
+	return d
 }
 
 // Diff returns the delta from old to cfg.
@@ -50,9 +57,20 @@
 	if !equalKeys(old.Keys, cfg.Keys) {
 		d.Keys = cfg.Keys
 	}
+	if !slices.Equal(old.EvacuatedDomains, cfg.EvacuatedDomains) {
+		d.EvacuatedDomains = listOf(cfg.EvacuatedDomains)
+	}
 	return d
 }
 
+// listOf returns a pointer to domains, which JSON encodes as a list also if there are none.
+func listOf(domains []string) *[]string {
+	if domains == nil {
+		domains = []string{}
+	}
+	return &domains
+}
+
 // equal reports whether two services have the same JSON.
 func (s *Service) equal(o *Service) bool {
 	a, errA := json.Marshal(s)
@@ -69,6 +87,9 @@
 // unchanged. It returns ErrOtherBase if the delta does not apply.
 func (d *Delta) Apply(cfg *Configuration) (*Configuration, error) {
 	next := &Configuration{Revision: d.Revision, WriteID: d.WriteID, Keys: d.Keys}
+	if d.EvacuatedDomains != nil {
+		next.EvacuatedDomains = *d.EvacuatedDomains
+	}
 	if d.Base == 0 {
 		next.Services = slices.Clone(d.Put)
 		return next, nil
@@ -79,6 +100,9 @@
 	if next.Keys == nil {
 		next.Keys = cfg.Keys
 	}
+	if d.EvacuatedDomains == nil {
+		next.EvacuatedDomains = cfg.EvacuatedDomains
+	}
 	next.Services = slices.Clone(cfg.Services)
 	for _, s := range d.Put {
 		next.Put(s)
@@ -89,7 +113,7 @@
 	return next, nil
 }
 
-// ForService returns the delta reduced to one service and the keys.
+// ForService returns the delta reduced to one service, the keys and the evacuated failure domains.
 func (d *Delta) ForService(name string) Delta {
 	part := *d
 	part.Put = nil
@@ -150,6 +174,9 @@
 		if d.Keys != nil {
 			merged.Keys = h.current.Keys
 		}
+		if d.EvacuatedDomains != nil {
+			merged.EvacuatedDomains = listOf(h.current.EvacuatedDomains)
+		}
 	}
 	for name := range changed {
 		if s := h.current.Service(name); s != nil {
--- a/service/delta_test.go
+++ b/service/delta_test.go
@@ -1,8 +1,10 @@
 package service
 
 import (
+	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -23,17 +25,31 @@
 			} else if len(old) > 0 {
 				cfg.Keys = old[len(old)-1].Keys
 			}
+			if rapid.Bool().Draw(t, "evacuation") {
+				cfg.EvacuatedDomains = []string{fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "domain"))}
+			}
 			h.Advance(cfg)
 			old = append(old, cfg)
 		}
 		newest := old[len(old)-1]
 		for _, cfg := range append(old, &Configuration{}) {
 			d := h.DeltaSince(cfg.Revision)
+			raw, err := json.Marshal(d.ForService("no such service"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var part Delta
+			if err := json.Unmarshal(raw, &part); err != nil {
+				t.Fatal(err)
+			}
+			if got, err := part.Apply(cfg); err != nil || !slices.Equal(got.EvacuatedDomains, newest.EvacuatedDomains) {
+				t.Fatalf("from revision %d for one service: got %+v, error %v, want %v evacuated", cfg.Revision, got, err, newest.EvacuatedDomains)
+			}
 			got, err := d.Apply(cfg)
 			if err != nil {
 				t.Fatal(err)
 			}
-			if got.Revision != newest.Revision || !equalKeys(got.Keys, newest.Keys) || !reflect.DeepEqual(byName(got), byName(newest)) {
+			if got.Revision != newest.Revision || !equalKeys(got.Keys, newest.Keys) || !slices.Equal(got.EvacuatedDomains, newest.EvacuatedDomains) || !reflect.DeepEqual(byName(got), byName(newest)) {
 				t.Fatalf("from revision %d: got %+v, want %+v", cfg.Revision, got, newest)
 			}
 		}
--- a/sibling/server.go
+++ b/sibling/server.go
@@ -27,6 +27,8 @@
 	Start(id string) error
 	Cancel(id string)
 	Load() work.Load
+	// Evacuated reports whether new requests are refused because the failure domain is evacuated.
+	Evacuated() bool
 }
 
 // Upstream runs requests on the local upstream and stores key records.
@@ -64,6 +66,10 @@
 	tracker     RequestTracker
 	events      TimelineSource
 	wrongTarget metrics.Counter
+	// evacuated counts the offers and starts that were refused because of an evacuation.
+	evacuated metrics.Counter
+	// running is the number of siblings' requests and streams that run on the local upstream.
+	running metrics.Counter
 }
 
 // NewServer returns the server of the sidecar identity. It refuses offers meant for another target.
@@ -78,6 +84,8 @@
 		tracker:     tracker,
 		events:      events,
 		wrongTarget: metrics.NewRegisteredCounter("sibling.refused.wrong-target", r),
+		evacuated:   metrics.NewRegisteredCounter("sibling.refused.evacuated", r),
+		running:     metrics.NewRegisteredCounter("sibling.running", r),
 	}
 }
 
@@ -117,6 +125,9 @@
 
 // refuse reports that a request was not run.
 func (srv *Server) refuse(s *session.Stream, reason string, retryAfter time.Duration) {
+	if reason == work.ReasonEvacuated {
+		srv.evacuated.Inc(1)
+	}
 	srv.sendAnswer(s, &Event{
 		NotRun: &NotRun{Reason: reason, RetryAfterMs: uint32(retryAfter.Milliseconds())},
 		Load:   encodeLoad(srv.identity, srv.slots.Load()),
@@ -158,6 +169,10 @@
 	started := make(chan *Start, 1)
 	go receiveStart(ctx, cancel, s, started)
 	if r.Route.Class == service.ClassFlow {
+		if srv.slots.Evacuated() {
+			srv.refuse(s, work.ReasonEvacuated, 0)
+			return
+		}
 		srv.sendAnswer(s, &Event{Grant: &Grant{}})
 		srv.runGranted(ctx, s, r, started, nil)
 		return
@@ -214,7 +229,7 @@
 }
 
 // runGranted waits for the start of a granted offer and runs the request. slots is nil for a flow,
-// which needs no slot.
+// which needs no slot. The start may come long after the grant, when the failure domain is evacuated.
 func (srv *Server) runGranted(ctx context.Context, s *session.Stream, r *work.Request, started <-chan *Start, slots Slots) {
 	select {
 	case start := <-started:
@@ -223,17 +238,28 @@
 	case <-ctx.Done():
 		return
 	}
-	if slots != nil {
-		if err := slots.Start(r.SlotID); err != nil {
-			srv.refuse(s, work.ReasonLeaseLapsed, 0)
-			return
-		}
+	if err := srv.start(r, slots); err != nil {
+		srv.refuse(s, refusalReason(err), 0)
+		return
 	}
 	sink := &streamSink{stream: s}
+	srv.running.Inc(1)
 	outcome := srv.upstream.Run(ctx, r, sink)
+	srv.running.Dec(1)
 	srv.sendOutcome(s, outcome)
 }
 
+// start confirms the grant of a request. slots is nil for a flow.
+func (srv *Server) start(r *work.Request, slots Slots) error {
+	if slots != nil {
+		return slots.Start(r.SlotID)
+	}
+	if srv.slots.Evacuated() {
+		return work.ErrEvacuated
+	}
+	return nil
+}
+
 // sendOutcome reports the outcome of a request that was started.
 func (srv *Server) sendOutcome(s *session.Stream, o work.Outcome) {
 	switch o.Verdict {
@@ -293,13 +319,17 @@
 	srv.sendAnswer(s, &HandoverAnswer{Taken: taken})
 }
 
-// refusalReason returns the reason for which the scheduler refused an entry.
+// refusalReason returns the reason for which the scheduler refused an entry or its start.
 func refusalReason(err error) string {
 	switch {
 	case errors.Is(err, work.ErrDeadline):
 		return work.ReasonDeadline
 	case errors.Is(err, work.ErrLeaving):
 		return work.ReasonLeaving
+	case errors.Is(err, work.ErrEvacuated):
+		return work.ReasonEvacuated
+	case errors.Is(err, work.ErrLeaseLapsed):
+		return work.ReasonLeaseLapsed
 	default:
 		return work.ReasonOverload
 	}
--- a/sidecar/acquire.go
+++ b/sidecar/acquire.go
@@ -85,7 +85,7 @@
 	interval := minOfferInterval
 	offerTimer := time.NewTimer(interval)
 	defer offerTimer.Stop()
-	var lastErr error = work.ErrOverload
+	lastErr := s.firstError()
 	for {
 		if s.openOffers == 0 {
 			next := s.nextCandidate(s.request, s.tried)
@@ -111,6 +111,14 @@
 	}
 }
 
+// firstError returns the error of a search that finds no sidecar to make an offer to.
+func (s *slotSearch) firstError() error {
+	if err := s.refusal(); errors.Is(err, work.ErrEvacuated) {
+		return err
+	}
+	return work.ErrOverload
+}
+
 // startOffer offers the request to a sidecar. The result is sent to s.results.
 func (s *slotSearch) startOffer(ctx context.Context, identity string) {
 	s.tried[identity] = true
@@ -160,7 +168,7 @@
 		return []string{identity}
 	}
 	var candidates []string
-	if !d.leaving() && !tried[d.identity] {
+	if d.refusal() == nil && !tried[d.identity] {
 		candidates = append(candidates, d.identity)
 	}
 	exclude := maps.Clone(tried)
@@ -184,7 +192,7 @@
 	if d.hasFixedPlacement() {
 		return ""
 	}
-	if !d.leaving() && !tried[d.identity] {
+	if d.refusal() == nil && !tried[d.identity] {
 		return d.identity
 	}
 	identity, _ := d.siblings.pickQueue(r.Route.Priority, false, tried)
@@ -204,7 +212,7 @@
 	if identity := d.freeCandidate(r, tried); identity != "" {
 		return identity
 	}
-	if !d.leaving() && !tried[d.identity] {
+	if d.refusal() == nil && !tried[d.identity] {
 		return d.identity
 	}
 	if !d.mayQueueAtSibling(r.Route.Priority) {
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -34,8 +34,9 @@
 	keyedRequests *KeyedRequests
 	events        *timeline.Ring
 	baseline      Baseline
-	// leaving reports whether this sidecar is leaving and takes no new work.
-	leaving func() bool
+	// refusal returns why this sidecar takes no new work, work.ErrLeaving or work.ErrEvacuated; nil if
+	// it does.
+	refusal func() error
 	// pendingOffers is the number of this sidecar's offers that siblings have neither granted nor
 	// refused, by priority.
 	pendingOffers [work.PriorityCount]atomic.Int64
@@ -66,10 +67,12 @@
 }
 
 // runStream runs a long-lived stream on the local upstream. The stream uses a connection but no slot.
-// If this sidecar is leaving or its upstream did not run the stream, siblings are tried.
+// If this sidecar takes no new work or its upstream did not run the stream, siblings are tried.
 func (d *Dispatcher) runStream(ctx context.Context, r *work.Request, sink work.ResponseSink) work.Outcome {
-	outcome := work.NotRun(work.ReasonLeaving, 0)
-	if !d.leaving() {
+	var outcome work.Outcome
+	if err := d.refusal(); err != nil {
+		outcome = d.notRunOutcome(ctx, r, err)
+	} else {
 		outcome = d.upstream.Run(ctx, r, sink)
 	}
 	exclude := map[string]bool{d.identity: true}
@@ -185,6 +188,8 @@
 		return work.NotRun(work.ReasonDeadline, retryAfter)
 	case errors.Is(err, work.ErrLeaving):
 		return work.NotRun(work.ReasonLeaving, 0)
+	case errors.Is(err, work.ErrEvacuated):
+		return work.NotRun(work.ReasonEvacuated, evacuatedRetryAfter)
 	default:
 		return work.NotRun(work.ReasonOverload, retryAfter)
 	}
--- a/sidecar/siblings.go
+++ b/sidecar/siblings.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -83,9 +84,10 @@
 	}
 }
 
-// updateMembers replaces the set of siblings and the sidecars that the picker may pick. With
-// selfTakesWork set, the picker may pick this sidecar too.
-func (s *Siblings) updateMembers(members []member.ObservedRecord, selfTakesWork bool) {
+// updateMembers replaces the set of siblings and the sidecars that the picker may pick: those that take
+// work and whose failure domain is not in evacuated. With selfTakesWork set, the picker may pick this
+// sidecar too.
+func (s *Siblings) updateMembers(members []member.ObservedRecord, evacuated []string, selfTakesWork bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var candidates []work.Sibling
@@ -100,7 +102,7 @@
 		}
 		present[r.Identity] = true
 		s.updatePeer(r)
-		if r.State == member.StateReady || r.State == member.StateStarting && r.Weight > 0 {
+		if takesOffers(r) && !slices.Contains(evacuated, r.FailureDomain) {
 			candidates = append(candidates, s.toSibling(r))
 		}
 	}
@@ -113,6 +115,11 @@
 	s.picker.SetSiblings(candidates)
 }
 
+// takesOffers reports whether a sibling in its announced state takes offers.
+func takesOffers(r *member.Record) bool {
+	return r.State == member.StateReady || r.State == member.StateStarting && r.Weight > 0
+}
+
 // updatePeer stores the record of a sibling. It creates a new client if the sibling's incarnation
 // or control address has changed.
 func (s *Siblings) updatePeer(r *member.Record) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -56,7 +56,9 @@
 	callerServer *caller.Server
 	ids          *connectionIDs
 	leaving      atomic.Bool
-	events       *timeline.Ring
+	// evacuated is set while this sidecar's failure domain is evacuated.
+	evacuated atomic.Bool
+	events    *timeline.Ring
 	// appliedConfiguration is the configuration that updateKeys handled last.
 	appliedConfiguration *service.Configuration
 }
@@ -176,6 +178,7 @@
 	if s.cfg.Baseline == BaselineFIFO {
 		s.slots.SetFIFO()
 	}
+	s.applyEvacuations(s.node.Configuration())
 	client, closeClient := upstream.New(s.cfg.Upstream, s.slots)
 	s.upstream = client
 	s.siblings = newSiblings(s.log, self, s.credentials)
@@ -191,6 +194,7 @@
 		Dispatcher:  s.dispatcher,
 		Identity:    s.cfg.Identity,
 		Handshakes:  s.cfg.Handshakes,
+		Evacuated:   s.evacuated.Load,
 		Registry:    s.registry,
 	})
 	if err != nil {
@@ -228,7 +232,7 @@
 		events:        s.events,
 		keyedRequests: newKeyedRequests(s.upstream, s.siblings),
 		baseline:      s.cfg.Baseline,
-		leaving:       s.leaving.Load,
+		refusal:       s.refusal,
 		memberLost:    func() bool { return s.node.HasLost(s.cfg.Service) },
 		holderLeft: func(holder string) bool {
 			identity, incarnation, ok := parseHolder(holder)
@@ -274,16 +278,17 @@
 // applyChanges applies the current configuration, membership and health. started is the start of
 // this sidecar.
 func (s *Sidecar) applyChanges(started time.Time) {
-	s.updateKeys()
+	cfg := s.node.Configuration()
+	s.applyEvacuations(cfg)
+	s.siblings.updateMembers(s.node.Service(s.cfg.Service), cfg.EvacuatedDomains, s.refusal() == nil && s.upstream.Healthy())
+	s.updateKeys(cfg)
 	s.announceState(started)
-	s.siblings.updateMembers(s.node.Service(s.cfg.Service), !s.leaving.Load() && s.upstream.Healthy())
 	s.conn.SetBalancers(replyBalancers(s.cfg.Identity, s.node.Balancers()))
 }
 
-// updateKeys loads the keys of the current configuration and reports its revision as in force. It
-// tries this only once for each configuration.
-func (s *Sidecar) updateKeys() {
-	cfg := s.node.Configuration()
+// updateKeys loads the keys of a configuration and reports its revision as in force. It tries this only
+// once for each configuration.
+func (s *Sidecar) updateKeys(cfg *service.Configuration) {
 	if cfg == s.appliedConfiguration {
 		return
 	}
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -20,6 +20,9 @@
 const (
 	// KindInForce: a process has started to act on a revision of the configuration.
 	KindInForce Kind = "configuration-in-force"
+	// KindEvacuation: a process has started to act on the evacuation of a failure domain, or on its
+	// end; Detail is "evacuated" or "restored" and the domain.
+	KindEvacuation Kind = "evacuation"
 	// KindMemberState: a process changed its state; Detail is the new state.
 	KindMemberState Kind = "member-state"
 	// KindMemberSilent: a balancer no longer receives the announcements of a process.
@@ -100,7 +103,8 @@
 	Upstream string `json:"upstream,omitempty"`
 	// Revision is the revision of the configuration that the event is about, or 0.
 	Revision uint64 `json:"revision,omitempty"`
-	// Detail is the new state of a KindMemberState, or the outcome of a KindRequest; else empty.
+	// Detail is the new state of a KindMemberState, the outcome of a KindRequest, or what a
+	// KindEvacuation says; else empty.
 	Detail string `json:"detail,omitempty"`
 }
 
--- a/upstream/slots.go
+++ b/upstream/slots.go
@@ -160,6 +160,23 @@
 	}
 }
 
+// SetEvacuated sets whether the failure domain is evacuated; see work.Scheduler.SetEvacuated. Queued
+// entries then fail with work.ErrEvacuated.
+func (s *Slots) SetEvacuated(evacuated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.scheduler.SetEvacuated(evacuated) {
+		s.notify(e.ID, work.ErrEvacuated)
+	}
+}
+
+// Evacuated reports whether entries are refused because the failure domain is evacuated.
+func (s *Slots) Evacuated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.Evacuated()
+}
+
 // Load returns the load report for siblings.
 func (s *Slots) Load() work.Load {
 	s.mu.Lock()
--- a/work/request.go
+++ b/work/request.go
@@ -111,6 +111,9 @@
 	ReasonOverload = "overload"
 	// ReasonLeaving: the sidecar is shutting down.
 	ReasonLeaving = "leaving"
+	// ReasonEvacuated: the sidecar's failure domain is evacuated, and no sibling elsewhere takes the
+	// request.
+	ReasonEvacuated = "evacuated"
 	// ReasonNoUpstream: no sidecar takes the request, or the offer was meant for another process.
 	ReasonNoUpstream = "no-upstream"
 	// ReasonLeaseLapsed: the grant of the slot expired before the request was started.
--- a/work/scheduler.go
+++ b/work/scheduler.go
@@ -34,6 +34,7 @@
 	ErrDeadline    = errors.New("work: the deadline cannot be met")
 	ErrLeaseLapsed = errors.New("work: the grant has expired")
 	ErrLeaving     = errors.New("work: the sidecar is leaving")
+	ErrEvacuated   = errors.New("work: the failure domain is evacuated")
 )
 
 // QueueEntry describes a request to a scheduler.
@@ -83,7 +84,7 @@
 	lastSequence uint64
 	lastShort    time.Time                // arrival of the last short request
 	durations    map[string]time.Duration // moving average by route
-	leaving      bool
+	refusal      error                    // what Submit returns: ErrLeaving, ErrEvacuated or nil
 	fifo         bool
 
 	busy       float64   // moving average of the share of granted slots
@@ -117,23 +118,11 @@
 // Limit returns the number of requests that may run at once.
 func (s *Scheduler) Limit() int { return s.limit }
 
-// SetLeaving makes Submit refuse new entries, and empties the queue. It returns the entries that
-// were waiting, which are not run. Granted slots are kept.
-func (s *Scheduler) SetLeaving() []QueueEntry {
-	s.leaving = true
-	var waiting []QueueEntry
-	for _, q := range s.queue {
-		waiting = append(waiting, q.QueueEntry)
-	}
-	s.queue = nil
-	return waiting
-}
-
-// Submit adds an entry to the queue. If it returns an error, ErrLeaving, ErrOverload or
-// ErrDeadline, the request is not run.
+// Submit adds an entry to the queue. If it returns an error, ErrLeaving, ErrEvacuated, ErrOverload
+// or ErrDeadline, the request is not run.
 func (s *Scheduler) Submit(now time.Time, e QueueEntry) error {
-	if s.leaving {
-		return ErrLeaving
+	if s.refusal != nil {
+		return s.refusal
 	}
 	if !e.Long {
 		s.lastShort = now
@@ -281,7 +270,8 @@
 }
 
 // Start confirms a grant before its request runs. It returns ErrLeaseLapsed if the request has no
-// grant or the lease has expired, even if Expire has not run since.
+// grant or the lease has expired, even if Expire has not run since, and ErrEvacuated if the failure
+// domain was evacuated after the grant.
 func (s *Scheduler) Start(now time.Time, id string) error {
 	g, ok := s.grants[id]
 	if !ok {
@@ -294,6 +284,10 @@
 		s.removeGrant(now, id)
 		return ErrLeaseLapsed
 	}
+	if errors.Is(s.refusal, ErrEvacuated) {
+		s.removeGrant(now, id)
+		return ErrEvacuated
+	}
 	g.leaseEnd = time.Time{}
 	g.startedAt = now
 	return nil
