Refuse new connections at once if all domains of a service are evacuated

Cause: balancers dropped these first flights, so callers waited for their handshake to time out (5 s and more) before they knew that nothing was run.

Only in this case; other drops stay as they were.

--- a/fabric/forwarder.go
+++ b/fabric/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/net/ipv4"
+	"golang.org/x/time/rate"
 
 	"greengagedyke/tunnel"
 )
@@ -69,6 +70,8 @@
 	// done is closed when the goroutine that reads the socket has ended.
 	done    chan struct{}
 	binding atomic.Pointer[Binding]
+	// refusals limits how often first flights are refused.
+	refusals *rate.Limiter
 }
 
 // Forwarder forwards datagrams between the services' addresses and the sidecars.
@@ -201,6 +204,7 @@
 		udpConn:    conn,
 		packetConn: ipv4.NewPacketConn(conn),
 		done:       make(chan struct{}),
+		refusals:   newRefusalLimit(),
 	}
 	socket.binding.Store(b)
 	f.sockets[b.Address] = socket
@@ -273,20 +277,24 @@
 func (f *Forwarder) runInbound(ctx context.Context, socket *serviceSocket, b *batch) {
 	defer close(socket.done)
 	b.run(ctx, func(n int) {
-		m := f.sealInbound(socket.binding.Load(), b, n)
+		m := f.sealInbound(socket, b, n)
 		f.send(f.tunnelConn, b, m)
 	})
 }
 
-// sealInbound seals the first n received datagrams for their sidecars, drops those without a
+// sealInbound seals the first n received datagrams for their sidecars, drops or refuses those without a
 // destination, and returns the number of messages to send.
-func (f *Forwarder) sealInbound(binding *Binding, b *batch, n int) int {
+func (f *Forwarder) sealInbound(socket *serviceSocket, b *batch, n int) int {
+	binding := socket.binding.Load()
 	m := 0
 	for i := range n {
 		datagram := b.buffers[i][:tunnel.HeaderLen+b.receiver.length(i)]
 		to, drop := binding.Decider.Decide(&b.scratch, datagram[tunnel.HeaderLen:])
 		if drop != DropReasonNone {
 			f.counters.Dropped[drop].Inc(1)
+			if drop == DropReasonEvacuated {
+				f.refuse(socket, datagram[tunnel.HeaderLen:], b.receiver.sender(i))
+			}
 			continue
 		}
 		if to.FirstFlight {
