--- a/quiclb/refusal_test.go
+++ b/quiclb/refusal_test.go
@@ -42,7 +42,12 @@
 	if !errors.As(err, &refused) || refused.ErrorCode != quic.ConnectionRefused {
 		t.Fatalf("got error %v, want a refusal", err)
 	}
-	datagram := <-answered
+	checkNotRefusable(t, <-answered)
+}
+
+// checkNotRefusable checks that truncated and changed copies of a datagram get no answer.
+func checkNotRefusable(t *testing.T, datagram []byte) {
+	t.Helper()
 	for n := range len(datagram) - 1 {
 		if _, err := AppendRefusal(nil, datagram[:min(n, minInitialDatagramLen-1)]); !errors.Is(err, ErrNotRefusable) {
 			t.Fatalf("first %d bytes: got error %v, want %v", n, err, ErrNotRefusable)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -56,8 +56,7 @@
 	callerServer *caller.Server
 	ids          *connectionIDs
 	leaving      atomic.Bool
-	// evacuated is set while this sidecar's failure domain is evacuated.
-	evacuated atomic.Bool
+	evacuated    atomic.Bool // the failure domain is evacuated
 	events    *timeline.Ring
 	// appliedConfiguration is the configuration that updateKeys handled last.
 	appliedConfiguration *service.Configuration
