--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -57,7 +57,7 @@
 	ids          *connectionIDs
 	leaving      atomic.Bool
 	evacuated    atomic.Bool // the failure domain is evacuated
-	events    *timeline.Ring
+	events       *timeline.Ring
 	// appliedConfiguration is the configuration that updateKeys handled last.
 	appliedConfiguration *service.Configuration
 }
