--- a/cmd/greengagedyke/apply.go
+++ b/cmd/greengagedyke/apply.go
@@ -58,6 +58,23 @@
 // readDeclarations reads and validates one service from each *.json file in the directory path, or
 // from path itself if it is a file.
 func readDeclarations(path string) (service.Services, error) {
+	files, err := declarationFiles(path)
+	if err != nil {
+		return nil, err
+	}
+	var services service.Services
+	for _, file := range files {
+		s, err := readDeclaration(file)
+		if err != nil {
+			return nil, err
+		}
+		services = append(services, *s)
+	}
+	return services, nil
+}
+
+// declarationFiles returns the *.json files in the directory path, or path itself if it is a file.
+func declarationFiles(path string) ([]string, error) {
 	files := []string{path}
 	if info, err := os.Stat(path); err == nil && info.IsDir() {
 		files, err = filepath.Glob(filepath.Join(path, "*.json"))
@@ -66,21 +83,19 @@
 		}
 	}
 	slices.Sort(files)
-	var services service.Services
-	for _, file := range files {
-		data, err := os.ReadFile(file)
-		if err != nil {
-			return nil, errors.Wrap(err, "apply")
-		}
-		var s service.Service
-		if err := settings.Decode(file, data, &s); err != nil {
-			return nil, err
-		}
-		s.Defaults()
-		if err := s.Validate(); err != nil {
-			return nil, errors.WithMessage(err, file)
-		}
-		services = append(services, s)
+	return files, nil
+}
+
+// readDeclaration reads and validates the service in a file.
+func readDeclaration(file string) (*service.Service, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "apply")
 	}
-	return services, nil
+	s := &service.Service{}
+	if err := settings.Decode(file, data, s); err != nil {
+		return nil, err
+	}
+	s.Defaults()
+	return s, errors.WithMessage(s.Validate(), file)
 }
--- a/cmd/greengagedyke/diff.go
+++ b/cmd/greengagedyke/diff.go
@@ -40,11 +40,16 @@
 	if err := wanted.Validate(); err != nil {
 		return err
 	}
+	printDifference(current, wanted)
+	return nil
+}
+
+// printDifference prints the services that differ between the current and the wanted configuration.
+func printDifference(current, wanted *service.Configuration) {
 	delta := service.Diff(current, wanted)
 	if len(delta.Put)+len(delta.Deleted) == 0 {
 		fmt.Println("no change")
-		return nil
+		return
 	}
 	printDelta(delta)
-	return nil
 }
--- a/cmd/greengagedyke/main.go
+++ b/cmd/greengagedyke/main.go
@@ -29,6 +29,8 @@
 	exitOK     = 0
 	exitFailed = 1
 	exitUsage  = 2
+	// exitUnknown means that check could not ask the balancer.
+	exitUnknown = 3
 )
 
 // run parses the arguments, executes the subcommand and returns the exit code.
@@ -60,6 +62,11 @@
 		}
 	}
 	_, err := p.ParseArgs(args)
+	return exitCode(err)
+}
+
+// exitCode returns the exit code for an error of a command, and prints the error.
+func exitCode(err error) int {
 	var flagsErr *flags.Error
 	switch {
 	case err == nil:
@@ -67,13 +74,15 @@
 	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
 		fmt.Println(err)
 		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "greengagedyke:", err)
+	switch {
 	case errors.As(err, &flagsErr):
-		fmt.Fprintln(os.Stderr, "greengagedyke:", err)
 		return exitUsage
-	default:
-		fmt.Fprintln(os.Stderr, "greengagedyke:", err)
-		return exitFailed
+	case errors.As(err, new(*unknownError)):
+		return exitUnknown
 	}
+	return exitFailed
 }
 
 // newLogger returns a logger that writes JSON to standard error.
--- a/work/scheduler.go
+++ b/work/scheduler.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"greengagedyke/service"
 )
 
 const (
@@ -15,7 +17,7 @@
 	// shortReservation is how long after the last short request slots stay reserved for short ones.
 	shortReservation = 10 * time.Second
 	// defaultDuration is the expected duration of a route that has not been used.
-	defaultDuration = 20 * time.Millisecond
+	defaultDuration = service.InitialDuration
 	// durationWeight is the weight of a new request in the moving average of a route's duration.
 	durationWeight = 0.1
 	// reservedUtilization is the share of the reserved slots that short requests use on average;
