--- a/work/scheduler.go
+++ b/work/scheduler.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"greengagedyke/service"
 )
 
 const (
@@ -15,7 +17,7 @@
 	// shortReservation is how long after the last short request slots stay reserved for short ones.
 	shortReservation = 10 * time.Second
 	// defaultDuration is the expected duration of a route that has not been used.
-	defaultDuration = 20 * time.Millisecond
+	defaultDuration = service.InitialDuration
 	// durationWeight is the weight of a new request in the moving average of a route's duration.
 	durationWeight = 0.1
 	// reservedUtilization is the share of the reserved slots that short requests use on average;
@@ -34,6 +36,7 @@
 	ErrDeadline    = errors.New("work: the deadline cannot be met")
 	ErrLeaseLapsed = errors.New("work: the grant has expired")
 	ErrLeaving     = errors.New("work: the sidecar is leaving")
+	ErrEvacuated   = errors.New("work: the failure domain is evacuated")
 )
 
 // QueueEntry describes a request to a scheduler.
@@ -83,7 +86,7 @@
 	lastSequence uint64
 	lastShort    time.Time                // arrival of the last short request
 	durations    map[string]time.Duration // moving average by route
-	leaving      bool
+	refusal      error                    // what Submit returns: ErrLeaving, ErrEvacuated or nil
 	fifo         bool
 
 	busy       float64   // moving average of the share of granted slots
@@ -117,23 +120,11 @@
 // Limit returns the number of requests that may run at once.
 func (s *Scheduler) Limit() int { return s.limit }
 
-// SetLeaving makes Submit refuse new entries, and empties the queue. It returns the entries that
-// were waiting, which are not run. Granted slots are kept.
-func (s *Scheduler) SetLeaving() []QueueEntry {
-	s.leaving = true
-	var waiting []QueueEntry
-	for _, q := range s.queue {
-		waiting = append(waiting, q.QueueEntry)
-	}
-	s.queue = nil
-	return waiting
-}
-
-// Submit adds an entry to the queue. If it returns an error, ErrLeaving, ErrOverload or
-// ErrDeadline, the request is not run.
+// Submit adds an entry to the queue. If it returns an error, ErrLeaving, ErrEvacuated, ErrOverload
+// or ErrDeadline, the request is not run.
 func (s *Scheduler) Submit(now time.Time, e QueueEntry) error {
-	if s.leaving {
-		return ErrLeaving
+	if s.refusal != nil {
+		return s.refusal
 	}
 	if !e.Long {
 		s.lastShort = now
@@ -281,7 +272,8 @@
 }
 
 // Start confirms a grant before its request runs. It returns ErrLeaseLapsed if the request has no
-// grant or the lease has expired, even if Expire has not run since.
+// grant or the lease has expired, even if Expire has not run since, and ErrEvacuated if the failure
+// domain was evacuated after the grant.
 func (s *Scheduler) Start(now time.Time, id string) error {
 	g, ok := s.grants[id]
 	if !ok {
@@ -294,6 +286,10 @@
 		s.removeGrant(now, id)
 		return ErrLeaseLapsed
 	}
+	if errors.Is(s.refusal, ErrEvacuated) {
+		s.removeGrant(now, id)
+		return ErrEvacuated
+	}
 	g.leaseEnd = time.Time{}
 	g.startedAt = now
 	return nil
