Test: how fast an evacuation spreads at the design size

Cause: the time in force at 550 balancers was an estimate only. Change: TestEvacuationSpread simulates the messages of a change with the constants in use.

--- a/balancer/evacuation_test.go
+++ b/balancer/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -84,3 +85,43 @@
 		t.Errorf("got %v, %v", s.evacuated.Load(), err)
 	}
 }
+
+// At 550 balancers, of which 8 watch the store, and 1,067 sidecars in the evacuated domain, a change
+// reaches all of them within a second after the first messages, if a tenth of these are lost.
+func TestEvacuationSpread(t *testing.T) {
+	const balancers, sidecars = 550, 1067
+	worstHops, worstLeft := 0, 0
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		informed, told := map[int]bool{}, map[int]bool{}
+		// send tells a number of receivers at random and returns those that are new.
+		send := func(to map[int]bool, total, n int) (added []int) {
+			for _, i := range r.Perm(total)[:n] {
+				if !to[i] && r.IntN(10) > 0 {
+					to[i] = true
+					added = append(added, i)
+				}
+			}
+			return added
+		}
+		next := send(informed, balancers, activeCount+standbyCount)
+		hops := 0
+		for ; len(next) > 0; hops++ {
+			senders := next
+			next = nil
+			for range senders {
+				send(told, sidecars, evacuationFanout)
+				next = append(next, send(informed, balancers, gossipFanout)...)
+			}
+		}
+		worstHops, worstLeft = max(worstHops, hops), max(worstLeft, balancers-len(informed))
+		for range len(informed) { // the next gossip message of each
+			send(told, sidecars, evacuationFanout)
+			send(informed, balancers, gossipFanout)
+		}
+		if len(informed) != balancers || len(told) != sidecars {
+			t.Errorf("seed %d: %d balancers and %d sidecars do not know after a second", seed, balancers-len(informed), sidecars-len(told))
+		}
+	}
+	t.Logf("at most %d hops, and %d balancers left after them", worstHops, worstLeft)
+}
