schedule: late requests keep a tenth of their timeout in reserve

Cause: a late request went at the last moment at which its expected cost still fits, so those that took longer than expected failed: on a burst of 1.8 times, 347 requests ran to their end for nobody, and the 99th percentile of the lower priority was 3.9 of 4 s. Change: late requests go a tenth of the timeout earlier.

--- a/schedule/order.go
+++ b/schedule/order.go
@@ -9,6 +9,10 @@
 // expected costs are uncertain.
 const marginShare = 0.125
 
+// reserveShare is the part of a late request's timeout that is kept for an answer that takes longer than
+// expected.
+const reserveShare = 0.1
+
 // next returns the request to be served next, or none.
 func (q *Queue[K, P]) next(now time.Time) int32 {
 	for l := range q.onTime {
@@ -47,13 +51,20 @@
 		}
 		higher := q.rates.higherShare(uint8(l), q.slots, now)
 		margin := time.Duration(float64(late.work()) * (marginShare + higher/(1-higher)))
-		if late.slack(t) < margin+other {
-			return late.first()
+		first := late.first()
+		if late.slack(t) < margin+other+q.reserve(first) {
+			return first
 		}
 	}
 	return none
 }
 
+// reserve returns the time, in slot time, by which a late request goes before it has to.
+func (q *Queue[K, P]) reserve(i int32) time.Duration {
+	timeout := timeoutOf(q.items[i].req.Timeout)
+	return time.Duration(reserveShare*float64(timeout)) * time.Duration(q.slots)
+}
+
 // urgentBelow returns the late request of a level below another that misses its deadline unless it
 // goes before other work, in slot time, or none. It goes only if the requests of higher levels that
 // can be in time still can after it.
