Leave out upstreams that are worse than they say

Change: sidecars record the outcomes of requests and report a failure share and an answer time; with outlier-detection in their settings, balancers compare them with the service's median, eject at most a third of the members, and take them back by trial. Off by default: then no decision changes. The tests were seen to fail without recordOutcome, recordOverdue, the exception for the warm-up, the check in placement, the panic threshold, the end of the pause, medianFactor and the reset after silence.

--- a/balancer/flow_balancer.go
+++ b/balancer/flow_balancer.go
@@ -48,7 +48,9 @@
 	knownBalancers *registry.KnownBalancers
 	codec          platform.PacketCodec
 	counters       *daemon.Counters
-	leaving        atomic.Bool
+	// ejected and readmitted count the changes of outliers.
+	ejected, readmitted metrics.Counter
+	leaving             atomic.Bool
 	// undecided buffers packets until this balancer has a configuration and knows all sidecars.
 	undecided *undecided
 	// lookupAdded is signalled when a packet is buffered for a lookup.
@@ -76,9 +78,15 @@
 		counters:       daemon.NewCounters(r),
 		balancer:       flow.NewBalancer(cfg.FailureDomain, c.Now()),
 
+		ejected:    metrics.GetOrRegisterCounter("outliers.ejected", r),
+		readmitted: metrics.GetOrRegisterCounter("outliers.readmitted", r),
+
 		undecided:   newUndecided(),
 		lookupAdded: make(chan struct{}, 1),
 	}
+	if cfg.DetectOutliers {
+		f.balancer.DetectOutliers()
+	}
 	return errors.Wrap(f.run(ctx, abort, r), "balancer.RunFlows")
 }
 
@@ -350,7 +358,9 @@
 	f.counters.Reports.Inc(1)
 	f.mu.Lock()
 	changed := f.balancer.HandleReport(from, l, f.clock.Now())
+	outliers := f.balancer.TakeOutlierChanges()
 	f.mu.Unlock()
+	f.logOutliers(outliers)
 	if changed {
 		f.log.Info("sidecar-state", "address", from.String(), "state", l.State.String(),
 			"start", l.Incarnation, "sequence", l.Sequence)
--- a/balancer/flow_settings.go
+++ b/balancer/flow_settings.go
@@ -22,6 +22,9 @@
 	// Peers are addresses of other balancers' VMs, used until the store can be read. The port is
 	// ignored: peers use the same tunnel port as this balancer.
 	Peers []netip.AddrPort `json:"peers,omitempty"`
+	// DetectOutliers makes the balancer send no new flows to upstreams that are clearly worse than the
+	// others of their service: slow, silent, or resetting flows.
+	DetectOutliers bool `json:"outlier-detection,omitempty"`
 	// Metrics is the HTTP address for metrics; they are not served if it is empty.
 	Metrics netip.AddrPort `json:"metrics-address,omitempty"`
 }
--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"greengagedyke/outlier"
 )
 
 // Action says what to do with a packet.
@@ -202,6 +204,8 @@
 	registered bool
 	// awaited holds the listed members that have neither reported nor expired recently.
 	awaited map[netip.AddrPort]bool
+	// outliers is nil unless outliers are detected.
+	outliers *outliers
 }
 
 // NewBalancer returns a balancer of the given failure domain that starts now.
@@ -266,6 +270,7 @@
 	if rankingChanged {
 		delete(b.rankings, m.Load.Tag)
 		delete(b.rankings, l.Tag)
+		m.outlier = outlier.Member{}
 	}
 	m.Load = l
 	m.ReportedAt = now
@@ -278,6 +283,7 @@
 		delete(b.expiredMembers, from)
 		delete(b.awaited, from)
 	}
+	b.updateOutliers(m, now)
 	return changed
 }
 
--- a/flow/member.go
+++ b/flow/member.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"greengagedyke/outlier"
 )
 
 // State says whether an upstream accepts new flows.
@@ -59,6 +61,8 @@
 	Work time.Duration
 	// ServiceTime is how long the upstream is expected to take for one request.
 	ServiceTime time.Duration
+	// Evidence describes the recent outcomes of the upstream's requests.
+	Evidence outlier.Evidence
 	// Interval is the time until the next report if the state does not change.
 	Interval time.Duration
 }
@@ -87,6 +91,8 @@
 	needsProbes bool
 	// lastQueried is when the member was last queried as a ranked member.
 	lastQueried time.Time
+	// outlier says whether the upstream is worse than it says.
+	outlier outlier.Member
 	// seed is a hash of Addr from which the member's scores in rankings are computed.
 	seed uint64
 }
--- a/flow/placement.go
+++ b/flow/placement.go
@@ -27,6 +27,7 @@
 	v.Path.To = best.Addr
 	b.addFallbacks(&v.Path, r, hash, best, now)
 	best.SentSinceReport++
+	best.outlier.Sent()
 	if best.unansweredSince.IsZero() {
 		best.unansweredSince = now
 	}
@@ -35,31 +36,31 @@
 }
 
 // addFallbacks adds the ranked members that accept new flows to a path, but for the chosen one. Those
-// without room under the warm-up rate come last.
+// of last resort come last.
 func (b *Balancer) addFallbacks(path *Path, r *ranking, hash uint64, chosen *Member, now time.Time) {
-	var full [RankingDepth]*Member
+	var later [RankingDepth]*Member
 	n := 0
 	for rank := range r.depth {
 		m := r.at(hash, rank)
 		switch {
 		case m == chosen || !m.acceptsFlows(now):
-		case m.hasWarmupRoom(path.WarmupRate, now):
-			path.add(m.Addr)
-		default:
-			full[n] = m
+		case m.lastResort(path.WarmupRate, now):
+			later[n] = m
 			n++
+		default:
+			path.add(m.Addr)
 		}
 	}
-	for _, m := range full[:n] {
+	for _, m := range later[:n] {
 		path.add(m.Addr)
 	}
 }
 
 // cheapest returns the member with the lowest cost among the ranked ones that accept new flows; nil
-// if there is none. Only if there are no others, it returns one without room under the warm-up rate,
-// or else the one at avoid.
+// if there is none. Only if there are no others, it returns one of last resort, or else the one at
+// avoid.
 func (b *Balancer) cheapest(r *ranking, hash uint64, avoid netip.AddrPort, warmupRate uint16, now time.Time) *Member {
-	var best, full, last *Member
+	var best, resort, last *Member
 	var lowest float64
 	for rank := range r.depth {
 		m := r.at(hash, rank)
@@ -70,9 +71,9 @@
 			last = m
 			continue
 		}
-		if !m.hasWarmupRoom(warmupRate, now) {
-			if full == nil {
-				full = m
+		if m.lastResort(warmupRate, now) {
+			if resort == nil {
+				resort = m
 			}
 			continue
 		}
@@ -84,8 +85,8 @@
 	switch {
 	case best != nil:
 		return best
-	case full != nil:
-		return full
+	case resort != nil:
+		return resort
 	}
 	return last
 }
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"greengagedyke/outlier"
 )
 
 const (
@@ -215,6 +217,8 @@
 	probes map[Key]probe
 	queue  Queue
 	warmup warmupLimit
+	// outcomes are those of the requests of the present upstream.
+	outcomes outlier.Recorder
 	// serviceTime is the moving average of the time from a request to the first byte of its answer.
 	serviceTime time.Duration
 	// pendingOpenings is the number of flows with pending set.
@@ -255,6 +259,9 @@
 	first := s.monitor.receivedAt.IsZero()
 	crashed := s.upstreamCrashed(now)
 	outcome := s.monitor.Heartbeat(hb, crashed || s.monitor.ending, now)
+	if outcome == HeartbeatStarted {
+		s.outcomes = outlier.Recorder{}
+	}
 	if tag := TagOf(hb.Service); outcome == HeartbeatStarted && tag != s.tag {
 		s.tag = tag
 		s.warmup.rate = 0 // it was the rate of the other service
@@ -379,6 +386,7 @@
 		Flows:         uint16(min(len(s.flows), 1<<16-1)),
 		WarmupLeft:    s.warmupLeft(now),
 		WarmupRoom:    s.warmup.room(now),
+		Evidence:      s.outcomes.Evidence(now),
 	}
 }
 
@@ -408,6 +416,7 @@
 		f.pending = false
 		s.pendingOpenings--
 		s.monitor.unanswered()
+		s.outcomes.Failed(now)
 		f.opening.Offered = true
 		send(&f.opening, forwardToSibling(&f.opening, ReasonUnanswered))
 	}
@@ -418,6 +427,7 @@
 func (s *Sidecar) Expire(now time.Time) {
 	s.expireCalls++
 	for k, f := range s.flows {
+		s.recordOverdue(f, now)
 		if f.awaitingAnswer && now.Sub(f.requestStart) > max(f.policy.Timeout, defaultTimeout/2) {
 			s.finishRequest(f)
 		}
--- a/flow/upstream_packets.go
+++ b/flow/upstream_packets.go
@@ -46,6 +46,7 @@
 
 // trackUpstreamPacket updates a flow's state for a packet of the upstream.
 func (s *Sidecar) trackUpstreamPacket(f *flowState, p *Packet, now time.Time) {
+	s.recordOutcome(f, p, now)
 	if f.pending {
 		f.pending = false
 		s.pendingOpenings--
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"greengagedyke/flow"
+	"greengagedyke/outlier"
 )
 
 // Kind is the type of a datagram.
@@ -68,7 +69,7 @@
 	// origin.
 	pathSize   = 3 + 4 + policySize + 2 + addressSize
 	policySize = 1 + 2 + 2
-	loadSize   = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2 + 2 + 4 + 2
+	loadSize   = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2 + 2 + 4 + 2 + 1 + 2
 	// balancersSize is the length of a KindBalancers body without its infos.
 	balancersSize = 8 + 4
 	// MaxHead is the largest length of the header that AppendPacket appends.
@@ -184,6 +185,8 @@
 	b = binary.BigEndian.AppendUint16(b, l.WarmupRoom)
 	b = binary.BigEndian.AppendUint32(b, uint32(max(0, min(l.Work/time.Millisecond, math.MaxUint32))))
 	b = binary.BigEndian.AppendUint16(b, milliseconds(l.ServiceTime))
+	b = append(b, evidenceByte(&l.Evidence))
+	b = binary.BigEndian.AppendUint16(b, milliseconds(l.Evidence.AnswerTime))
 	return binary.BigEndian.AppendUint16(b, milliseconds(l.Interval))
 }
 
@@ -206,10 +209,33 @@
 		WarmupRoom:    binary.BigEndian.Uint16(b[31:]),
 		Work:          time.Duration(binary.BigEndian.Uint32(b[33:])) * time.Millisecond,
 		ServiceTime:   time.Duration(binary.BigEndian.Uint16(b[37:])) * time.Millisecond,
-		Interval:      time.Duration(binary.BigEndian.Uint16(b[39:])) * time.Millisecond,
+		Evidence:      parseEvidence(b[39:]),
+		Interval:      time.Duration(binary.BigEndian.Uint16(b[42:])) * time.Millisecond,
 	}, nil
 }
 
+// maxShare encodes a failure share of 1, and 1 a share of 0. A byte of 0 means that there is no evidence.
+const maxShare = math.MaxUint8
+
+// evidenceByte encodes whether evidence is known, and its failure share.
+func evidenceByte(e *outlier.Evidence) byte {
+	if !e.Known {
+		return 0
+	}
+	return byte(1 + math.Round(max(0, min(e.FailureShare, 1))*(maxShare-1)))
+}
+
+// parseEvidence reads evidence; b has at least 3 bytes.
+func parseEvidence(b []byte) outlier.Evidence {
+	if b[0] == 0 {
+		return outlier.Evidence{}
+	}
+	return outlier.Evidence{
+		Known: true, FailureShare: float64(b[0]-1) / (maxShare - 1),
+		AnswerTime: time.Duration(binary.BigEndian.Uint16(b[1:])) * time.Millisecond,
+	}
+}
+
 // AppendFlowHeld appends a KindFlowHeld for flow k.
 func AppendFlowHeld(b []byte, k flow.Key) []byte {
 	return k.AppendBinary(append(b, magic, byte(KindFlowHeld)))
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"greengagedyke/flow"
+	"greengagedyke/outlier"
 	"greengagedyke/peer"
 )
 
@@ -50,7 +51,8 @@
 	want := flow.Load{
 		Incarnation: 1 << 60, Sequence: 9, Tag: 7, DomainID: 5, State: flow.StateLeaving, UpstreamEnded: true,
 		Slots: 2, Busy: 3, Flows: 400, WarmupLeft: 1500 * time.Millisecond,
-		WarmupRoom: 11, Work: 70 * time.Second, ServiceTime: 35 * time.Millisecond, Interval: 250 * time.Millisecond,
+		WarmupRoom: 11, Work: 70 * time.Second, ServiceTime: 35 * time.Millisecond,
+		Evidence: outlier.Evidence{Known: true, FailureShare: 0.5, AnswerTime: 290 * time.Millisecond}, Interval: 250 * time.Millisecond,
 	}
 	got, err := peer.ParseLoad(body(t, peer.AppendLoad(nil, &want), peer.KindLoad))
 	if err != nil || got != want {
