Test the warm-up rate with real balancers and sidecars

Cause: the unit tests don't show that the rate gets from the store through the balancers to the sidecars.

--- a/standin/flowtest/upstream.go
+++ b/standin/flowtest/upstream.go
@@ -119,6 +119,13 @@
 	u.heartbeat.State = flow.StateLeaving
 }
 
+// WarmUp makes the upstream's heartbeats say from now on that it warms up for another d.
+func (u *Upstream) WarmUp(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.heartbeat.WarmupLeft = d
+}
+
 // OpenedCount returns the number of flows whose opening packet has arrived.
 func (u *Upstream) OpenedCount() int {
 	u.mu.Lock()
