Outliers: leave out what callers have ended, test with real processes

Cause: a caller that ends its flow before the answer made the upstream's end, or its silence, count as the upstream's failure; and no test showed that evidence gets from the sidecars to the balancers.

--- a/flow/outliers.go
+++ b/flow/outliers.go
@@ -16,7 +16,8 @@
 	evaluateInterval = 250 * time.Millisecond
 )
 
-// recordOutcome records what a packet of the upstream shows about the newest request of a flow.
+// recordOutcome records what a packet of the upstream shows about the newest request of a flow. The end
+// of a flow that its caller has ended first is no failure.
 func (s *Sidecar) recordOutcome(f *flowState, p *Packet, now time.Time) {
 	ends := p.Flags.Has(FlagReset) || p.Flags.Has(FlagEnd)
 	switch {
@@ -24,15 +25,15 @@
 		s.outcomes.Answered(0, now) // the time says nothing about the upstream once it has warmed up
 	case f.awaitingAnswer && p.Length > 0:
 		s.outcomes.Answered(now.Sub(f.requestStart), now)
-	case f.awaitingAnswer && ends, f.pending && p.Flags.Has(FlagReset):
+	case f.awaitingAnswer && ends && f.ended == 0, f.pending && p.Flags.Has(FlagReset):
 		s.outcomes.Failed(now)
 	}
 }
 
 // recordOverdue records a flow's request if it has no answer after the time within which callers want
-// one.
+// one, and the caller still waits.
 func (s *Sidecar) recordOverdue(f *flowState, now time.Time) {
-	if f.awaitingAnswer && now.Sub(f.requestStart) > max(overdueAfter, f.policy.LatencyTarget) {
+	if f.awaitingAnswer && f.ended == 0 && now.Sub(f.requestStart) > max(overdueAfter, f.policy.LatencyTarget) {
 		s.outcomes.Failed(now)
 	}
 }
--- a/flow/outliers_test.go
+++ b/flow/outliers_test.go
@@ -14,20 +14,26 @@
 		name       string
 		warmupLeft time.Duration
 		then       func(s *Sidecar, now time.Time)
+		known      bool
 		failed     bool
 		answerTime time.Duration
 	}{
-		{"answer", 0, func(s *Sidecar, now time.Time) { s.FromUpstream(fromUpstream(FlagAck, 501, 80), now) }, false, 40 * time.Millisecond},
-		{"answer while warming up", time.Minute, func(s *Sidecar, now time.Time) { s.FromUpstream(fromUpstream(FlagAck, 501, 80), now) }, false, 0},
-		{"reset", 0, func(s *Sidecar, now time.Time) { s.FromUpstream(fromUpstream(FlagReset, 501, 0), now) }, true, 0},
-		{"end without an answer", 0, func(s *Sidecar, now time.Time) { s.FromUpstream(fromUpstream(FlagEnd|FlagAck, 501, 0), now) }, true, 0},
-		{"request without an answer", 0, func(s *Sidecar, now time.Time) { s.Expire(now.Add(overdueAfter)) }, true, 0},
+		{"answer", 0, func(s *Sidecar, now time.Time) { s.FromUpstream(fromUpstream(FlagAck, 501, 80), now) }, true, false, 40 * time.Millisecond},
+		{"answer while warming up", time.Minute, func(s *Sidecar, now time.Time) { s.FromUpstream(fromUpstream(FlagAck, 501, 80), now) }, true, false, 0},
+		{"reset", 0, func(s *Sidecar, now time.Time) { s.FromUpstream(fromUpstream(FlagReset, 501, 0), now) }, true, true, 0},
+		{"end without an answer", 0, func(s *Sidecar, now time.Time) { s.FromUpstream(fromUpstream(FlagEnd|FlagAck, 501, 0), now) }, true, true, 0},
+		{"request without an answer", 0, func(s *Sidecar, now time.Time) { s.Expire(now.Add(overdueAfter)) }, true, true, 0},
+		{"end after the caller's", 0, func(s *Sidecar, now time.Time) {
+			s.FromTunnel(callerPacket(Packet{Flags: FlagAck | FlagEnd, Sequence: 151, Ack: 501}), now)
+			s.Expire(now.Add(overdueAfter))
+			s.FromUpstream(fromUpstream(FlagEnd|FlagAck, 501, 0), now)
+		}, false, false, 0},
 		{"opening packet without an answer", 0, func(s *Sidecar, now time.Time) {
 			tp := openingTunnelPacket()
 			tp.Packet.Key = keyOf(1)
 			s.FromTunnel(tp, now)
 			s.ForwardUnanswered(now.Add(openingAnswerTimeout), func(*TunnelPacket, SidecarVerdict) {})
-		}, true, 0},
+		}, true, true, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s, now := testSidecar(t, time.Second)
@@ -39,12 +45,12 @@
 			now = now.Add(40 * time.Millisecond)
 			tt.then(s, now)
 			e := s.Load(now).Evidence
-			if !e.Known || e.FailureShare > 0 != tt.failed || e.AnswerTime != tt.answerTime {
-				t.Errorf("got %+v, want failed %v, answer time %v", e, tt.failed, tt.answerTime)
+			if e.Known != tt.known || e.FailureShare > 0 != tt.failed || e.AnswerTime != tt.answerTime {
+				t.Errorf("got %+v, want known %v, failed %v, answer time %v", e, tt.known, tt.failed, tt.answerTime)
 			}
 			sendHeartbeat(t, s, Heartbeat{ID: "i-1", StartedAt: s.monitor.Last().StartedAt, Sequence: 3}, now)
-			if !s.Load(now).Evidence.Known {
-				t.Error("a heartbeat of the same upstream removed the evidence")
+			if s.Load(now).Evidence.Known != tt.known {
+				t.Error("a heartbeat of the same upstream changed the evidence")
 			}
 		})
 	}
--- a/standin/flowtest/flows_test.go
+++ b/standin/flowtest/flows_test.go
@@ -65,6 +65,8 @@
 	upstreams    [3]*flowtest.Upstream
 	stopUpstream [3]func()
 	logs         logBuffer
+	// detectOutliers is a setting of the balancers that are started from now on.
+	detectOutliers bool
 }
 
 // newSite starts a site and waits until its balancers are ready.
@@ -181,6 +183,8 @@
 		Tunnel: s.block.Addr(balancerSubnet, i+1, tunnelPort),
 		Store:  s.block.Addr(0, 2, storePort),
 		Peers:  []netip.AddrPort{s.block.Addr(balancerSubnet, 1, controlPort)},
+
+		DetectOutliers: s.detectOutliers,
 	}
 	log := s.logger().With("process", cfg.Identity)
 	s.balancers[i] = startDaemon(func(ctx, abort context.Context) error {
--- a/standin/flowtest/upstream.go
+++ b/standin/flowtest/upstream.go
@@ -49,6 +49,8 @@
 	leftAt time.Time
 	// runCounts is the number of runs by request.
 	runCounts map[string]int
+	// muted is set while the upstream answers no requests.
+	muted bool
 }
 
 // upstreamFlow is the upstream's state of a flow.
@@ -126,6 +128,13 @@
 	u.heartbeat.WarmupLeft = d
 }
 
+// Mute makes the upstream answer no more requests. It still opens flows and sends heartbeats.
+func (u *Upstream) Mute() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.muted = true
+}
+
 // OpenedCount returns the number of flows whose opening packet has arrived.
 func (u *Upstream) OpenedCount() int {
 	u.mu.Lock()
@@ -243,7 +252,7 @@
 		delete(u.flows, p.Key)
 		return
 	}
-	if p.Length == 0 {
+	if p.Length == 0 || u.muted {
 		return
 	}
 	request := string(u.codec.Data(raw))
