--- a/standin/flowtest/flows_test.go
+++ b/standin/flowtest/flows_test.go
@@ -68,6 +68,8 @@
 	// domains are the failure domains of the sidecars; empty for a.
 	domains [3]string
 	logs    logBuffer
+	// detectOutliers is a setting of the balancers that are started from now on.
+	detectOutliers bool
 }
 
 // newSite starts a site and waits until its balancers are ready.
@@ -184,6 +186,8 @@
 		Tunnel: s.block.Addr(balancerSubnet, i+1, tunnelPort),
 		Store:  s.block.Addr(0, 2, storePort),
 		Peers:  []netip.AddrPort{s.block.Addr(balancerSubnet, 1, controlPort)},
+
+		DetectOutliers: s.detectOutliers,
 	}
 	log := s.logger().With("process", cfg.Identity)
 	s.balancers[i] = startDaemon(func(ctx, abort context.Context) error {
