Settings of the placement; flows whose first request is due count as work

Cause: the placement by expected time could not be asked for, and a burst of opening packets was not seen before its requests arrived. Change: placement and other-domain-time in the settings of balancers, placement in those of sidecars; sidecars count flows opened within 100 ms without a request. Measured: go test ./flow -run TestPlacementByExpectedTime.

--- a/balancer/flow_balancer.go
+++ b/balancer/flow_balancer.go
@@ -79,6 +79,8 @@
 		undecided:   newUndecided(),
 		lookupAdded: make(chan struct{}, 1),
 	}
+	placement, _ := flow.ParsePlacement(cfg.Placement)
+	f.balancer.SetPlacement(placement, time.Duration(cfg.OtherDomainTime))
 	return errors.Wrap(f.run(ctx, abort, r), "balancer.RunFlows")
 }
 
@@ -107,7 +109,8 @@
 	reg := registry.New(f.log, client)
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	f.addBalancers(peer.BalancerInfos(daemon.TunnelAddrs(f.cfg.Peers, f.cfg.Tunnel.Port())))
-	f.log.Info("balancer-started", "identity", f.cfg.Identity, "failure-domain", f.cfg.FailureDomain)
+	f.log.Info("balancer-started", "identity", f.cfg.Identity, "failure-domain", f.cfg.FailureDomain,
+		"placement", f.cfg.Placement)
 	wait := daemon.StartAll(runCtx, stop,
 		func(ctx context.Context) { daemon.ServeHTTP(ctx, f.log, ready, platform.ReadyHandler(f.ready)) },
 		f.source.watch,
@@ -283,6 +286,9 @@
 		attrs = append(attrs, "to", v.Path.To.String(), "alternatives", v.Path.FallbackCount, "busy", m.Load.Busy,
 			"flows", m.Load.Flows, "report-age-ms", now.Sub(m.ReportedAt).Milliseconds())
 	}
+	if v.Expected > 0 {
+		attrs = append(attrs, "expected-ms", v.Expected.Milliseconds(), "work-ms", m.Load.Work.Milliseconds())
+	}
 	f.log.Info("packet-steered", attrs...)
 }
 
--- a/balancer/flow_settings.go
+++ b/balancer/flow_settings.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 
+	"greengagedyke/flow"
+	"greengagedyke/service"
 	"greengagedyke/settings"
 )
 
@@ -22,12 +24,25 @@
 	// Peers are addresses of other balancers' VMs, used until the store can be read. The port is
 	// ignored: peers use the same tunnel port as this balancer.
 	Peers []netip.AddrPort `json:"peers,omitempty"`
+	// Placement says how the sidecar for a new flow is chosen: "requests" (the default) for the one with
+	// the fewest requests per slot, "expected-time" for the one that is expected to answer first.
+	Placement string `json:"placement,omitempty"`
+	// OtherDomainTime is how much sooner a sidecar of another failure domain has to answer to get a flow,
+	// if placement is "expected-time".
+	OtherDomainTime service.Duration `json:"other-domain-time,omitempty"`
 	// Metrics is the HTTP address for metrics; they are not served if it is empty.
 	Metrics netip.AddrPort `json:"metrics-address,omitempty"`
 }
 
 // Defaults implements settings.Config.
-func (*FlowSettings) Defaults() {}
+func (s *FlowSettings) Defaults() {
+	if s.Placement == "" {
+		s.Placement = flow.PlaceByRequests.String()
+	}
+	if s.OtherDomainTime == 0 {
+		s.OtherDomainTime = service.Duration(flow.DefaultOtherDomainTime)
+	}
+}
 
 // Validate implements settings.Config.
 func (s *FlowSettings) Validate() error {
@@ -37,6 +52,12 @@
 	case s.FailureDomain == "":
 		return &settings.FieldError{Field: "failure-domain", Problem: "must not be empty"}
 	}
+	if _, ok := flow.ParsePlacement(s.Placement); !ok {
+		return &settings.FieldError{Field: "placement", Problem: `must be "requests" or "expected-time"`}
+	}
+	if s.OtherDomainTime < 0 {
+		return &settings.FieldError{Field: "other-domain-time", Problem: "must not be negative"}
+	}
 	return settings.FirstError(
 		settings.CheckAddress("packets-address", s.Packets),
 		settings.CheckAddress("tunnel-address", s.Tunnel),
--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -162,8 +162,11 @@
 // not safe for concurrent use.
 type Balancer struct {
 	// domain is the ID of this balancer's failure domain.
-	domain    uint32
-	placement Placement
+	domain uint32
+	// placement says how new flows are placed, and otherDomainTime how much sooner a member of another
+	// failure domain has to answer.
+	placement       Placement
+	otherDomainTime time.Duration
 	// cfg is the configuration in force; its version is 0 before there is one.
 	cfg *Configuration
 	// members holds the sidecars that report to this balancer, by address.
--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -216,10 +216,14 @@
 	if ok {
 		s.removeFlow(tp.Packet.Key, f)
 	}
-	s.flows[tp.Packet.Key] = &flowState{
+	f = &flowState{
 		opening: *tp, offeredAt: now, pending: true, lastUsed: now,
 		retransmissions: tp.Packet.Retransmissions(), policy: tp.Path.Policy,
 	}
+	s.flows[tp.Packet.Key] = f
+	if s.placement == PlaceByExpectedTime {
+		s.opened = append(s.opened, f)
+	}
 	s.pendingOpenings++
 	return SidecarVerdict{Action: ActionUpstream, Reason: ReasonPlaced}
 }
--- a/flow/expected_time.go
+++ b/flow/expected_time.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -16,6 +17,22 @@
 	PlaceByExpectedTime
 )
 
+// placementNames are the names of the placements in settings.
+var placementNames = [...]string{"requests", "expected-time"}
+
+// String returns the placement's name in settings.
+func (p Placement) String() string { return placementNames[p] }
+
+// ParsePlacement returns the placement with a name in settings. The empty name is PlaceByRequests.
+func ParsePlacement(name string) (p Placement, ok bool) {
+	i := slices.Index(placementNames[:], name)
+	return Placement(max(0, i)), i >= 0 || name == ""
+}
+
+// DefaultOtherDomainTime is how much sooner a sidecar of another failure domain usually has to answer
+// to get a new flow.
+const DefaultOtherDomainTime = 15 * time.Millisecond
+
 const (
 	// candidateLimit is the number of ranked members of the own failure domain, and of others, that
 	// are compared. With more, all balancers would send their flows to the same few members until
@@ -23,8 +40,6 @@
 	candidateLimit = 3
 	// muchLater is the ratio of expected times above which a member comes last among the fallbacks.
 	muchLater = 2
-	// otherDomainTime is how much sooner a member of another failure domain has to answer.
-	otherDomainTime = 15 * time.Millisecond
 	// unansweredTime is added for a member that left an opening packet unanswered. It is more than
 	// callers wait until they send the packet again.
 	unansweredTime = time.Second
@@ -33,10 +48,16 @@
 	// waitLimit is how long a request may wait for a slot before its flow goes to a sibling, as a
 	// multiple of the time that a request takes.
 	waitLimit = 1.5
+	// requestDueIn is how long after its opening packet the first request of a flow is expected.
+	requestDueIn = 100 * time.Millisecond
 )
 
-// SetPlacement changes how new flows are placed. It has to be called before the first packet.
-func (b *Balancer) SetPlacement(p Placement) { b.placement = p }
+// SetPlacement changes how new flows are placed. otherDomainTime is how much sooner a member of another
+// failure domain has to answer; only PlaceByExpectedTime uses it.
+func (b *Balancer) SetPlacement(p Placement, otherDomainTime time.Duration) {
+	b.placement = p
+	b.otherDomainTime = otherDomainTime
+}
 
 // recordWork updates what is known of the member's work for a report that is about to replace the one
 // before it.
@@ -73,7 +94,7 @@
 	ahead += time.Duration(costFlow * float64(m.Load.OpenFlows) * float64(m.Load.ServiceTime))
 	t := ahead/time.Duration(max(1, m.Load.Slots)) + request
 	if m.Load.DomainID != b.domain {
-		t += otherDomainTime
+		t += b.otherDomainTime
 	}
 	if m.Load.WarmupLeft > now.Sub(m.ReportedAt) {
 		t += request
@@ -128,12 +149,23 @@
 // that a sibling may be faster. The balancer's choice rests on a report; this decision does not.
 func (s *Sidecar) waitsTooLong(policy *RequestPolicy, now time.Time) bool {
 	slots := max(1, s.slots())
-	if s.outstanding() < slots {
+	due := s.requestsDue(now)
+	if s.outstanding()+due < slots {
 		return false
 	}
-	limit := time.Duration(waitLimit * float64(s.pace.Pace(now)))
+	pace := s.pace.Pace(now)
+	limit := time.Duration(waitLimit * float64(pace))
 	if policy.LatencyTarget > 0 {
 		limit = min(limit, policy.LatencyTarget)
 	}
-	return s.work(now)/time.Duration(slots) > limit
+	return (s.work(now)+time.Duration(due)*pace)/time.Duration(slots) > limit
+}
+
+// requestsDue returns the number of flows whose first request is still on its way. When many callers
+// open flows at once, the requests in progress do not show yet how many there will be.
+func (s *Sidecar) requestsDue(now time.Time) int {
+	s.opened = slices.DeleteFunc(s.opened, func(f *flowState) bool {
+		return f.route.IsValid() || f.ended != 0 || f.lost || now.Sub(f.offeredAt) > requestDueIn
+	})
+	return len(s.opened)
 }
--- a/flow/expected_time_test.go
+++ b/flow/expected_time_test.go
@@ -11,13 +11,16 @@
 )
 
 // placementReplay replays requests of two routes, 5 ms and 100 ms at the usual pace, against real
-// balancers and sidecars. Time advances in steps of a millisecond; datagrams arrive at once.
+// balancers and sidecars. Time advances in steps of a millisecond. A request follows its opening packet
+// after replayRoundTrip; other datagrams arrive at once.
 type placementReplay struct {
 	balancers []*Balancer
 	upstreams []*replayUpstream
 	rng       *rand.Rand
 	now       time.Time
 	requests  []replayRequest
+	// onWay are the requests whose flow is open and that have not arrived, by arrival.
+	onWay []sentRequest
 	// choose returns the rank of the member for a new flow; nil for the balancer's decision.
 	choose func(b *Balancer, r *ranking, now time.Time) int
 }
@@ -32,6 +35,14 @@
 	ends     map[int]time.Time
 }
 
+// sentRequest is a request on its way to an upstream.
+type sentRequest struct {
+	id      int
+	packet  TunnelPacket
+	arrival time.Time
+	to      *replayUpstream
+}
+
 // replayRequest is a request on a flow of its own.
 type replayRequest struct {
 	key     Key
@@ -43,6 +54,7 @@
 const (
 	replaySlots       = 2
 	replayReportEvery = 250 // steps
+	replayRoundTrip   = 10 * time.Millisecond
 )
 
 var replayRoutes = []struct {
@@ -65,7 +77,7 @@
 	}
 	for range balancers {
 		b := NewBalancer("a", r.now)
-		b.SetPlacement(placement)
+		b.SetPlacement(placement, DefaultOtherDomainTime)
 		for i := range balancers - 1 {
 			b.SetPeerMemberCount(netip.AddrPortFrom(testPeer.Addr(), uint16(i+1)), upstreams, r.now)
 		}
@@ -111,6 +123,7 @@
 				u.sidecar.Expire(r.now)
 			}
 		}
+		r.arrive()
 		for due += perSecond / 1000; due >= 1; due-- {
 			r.open()
 		}
@@ -145,8 +158,17 @@
 	b.HandleFlowHeld(p.Key, u.addr, r.now)
 	request := TunnelPacket{Packet: p, Path: tp.Path, Raw: binary.BigEndian.AppendUint32(nil, uint32(id))}
 	request.Packet.Flags, request.Packet.Sequence, request.Packet.Ack, request.Packet.Length = FlagAck|FlagEnd, 101, 501, 200
-	if v := u.sidecar.FromTunnel(&request, r.now); v.Action == ActionUpstream {
-		u.waiting = append(u.waiting, id)
+	r.onWay = append(r.onWay, sentRequest{id, request, r.now.Add(replayRoundTrip), u})
+}
+
+// arrive delivers the requests that are due.
+func (r *placementReplay) arrive() {
+	for len(r.onWay) > 0 && !r.onWay[0].arrival.After(r.now) {
+		q := &r.onWay[0]
+		if v := q.to.sidecar.FromTunnel(&q.packet, r.now); v.Action == ActionUpstream {
+			q.to.waiting = append(q.to.waiting, q.id)
+		}
+		r.onWay = r.onWay[1:]
 	}
 }
 
--- a/sidecar/flow_settings.go
+++ b/sidecar/flow_settings.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"greengagedyke/flow"
 	"greengagedyke/service"
 	"greengagedyke/settings"
 )
@@ -41,6 +42,9 @@
 	// FlowLimit is the idle timeout of flows: the time without a packet after which the sidecar deletes
 	// a flow's state.
 	FlowLimit service.Duration `json:"flow-limit"`
+	// Placement says when a new flow goes to a sibling: "requests" (the default) if too many requests
+	// wait for a slot, "expected-time" if a request is expected to wait too long.
+	Placement string `json:"placement,omitempty"`
 	// Metrics is the HTTP address for metrics; none if empty.
 	Metrics netip.AddrPort `json:"metrics-address,omitempty"`
 	// Reload reads the settings file again; nil if the settings cannot change.
@@ -63,6 +67,9 @@
 
 // Defaults implements settings.Config.
 func (s *FlowSettings) Defaults() {
+	if s.Placement == "" {
+		s.Placement = flow.PlaceByRequests.String()
+	}
 	if s.Patience == 0 {
 		s.Patience = service.Duration(2 * time.Second)
 	}
@@ -83,6 +90,9 @@
 	case s.BalancerPort == 0:
 		return &settings.FieldError{Field: "balancer-port", Problem: "must be a port"}
 	}
+	if _, ok := flow.ParsePlacement(s.Placement); !ok {
+		return &settings.FieldError{Field: "placement", Problem: `must be "requests" or "expected-time"`}
+	}
 	return settings.FirstError(
 		settings.CheckAddress("tunnel-address", s.Tunnel),
 		settings.CheckAddress("outbound-address", s.Outbound),
--- a/sidecar/flow_sidecar.go
+++ b/sidecar/flow_sidecar.go
@@ -93,6 +93,8 @@
 	for m := range histograms {
 		histograms[m] = daemon.NewHistogram(flow.Latency(m).String(), r)
 	}
+	placement, _ := flow.ParsePlacement(cfg.Placement)
+	f.sidecar.SetPlacement(placement)
 	f.sidecar.Observe(func(m flow.Latency, d time.Duration) { histograms[m].Record(d) })
 	return errors.Wrap(f.run(ctx, abort, r), "sidecar.RunFlows")
 }
