--- a/flow/expected_time.go
+++ b/flow/expected_time.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -47,7 +48,7 @@
 	usualWorkGain = 1.0 / 8
 	// waitLimit is how long a request may wait for a slot before its flow goes to a sibling, as a
 	// multiple of the time that a request takes.
-	waitLimit = 1.5
+	waitLimit = 2.5
 	// requestDueIn is how long after its opening packet the first request of a flow is expected.
 	requestDueIn = 100 * time.Millisecond
 )
@@ -78,10 +79,10 @@
 
 // expectedWork returns the work that the member is expected to have by now. Reported work is done after
 // a time and other work arrives, so an older report says less than what is usual.
-func (m *Member) expectedWork(now time.Time) time.Duration {
+func (m *Member) expectedWork(reportAge time.Duration) time.Duration {
 	slots := time.Duration(max(1, m.Load.Slots))
 	turnover := float64(max(m.Load.Work/slots, m.Load.ServiceTime, time.Millisecond))
-	current := turnover / (turnover + float64(max(0, now.Sub(m.ReportedAt))))
+	current := turnover / (turnover + float64(max(0, reportAge)))
 	return m.usualWork + time.Duration(current*float64(m.Load.Work-m.usualWork))
 }
 
@@ -90,13 +91,14 @@
 // balancers are expected to have sent it as much work as this one since it reported.
 func (b *Balancer) expectedTime(m *Member, id RouteID, now time.Time) time.Duration {
 	request := m.requestTime(id)
-	ahead := m.expectedWork(now) + time.Duration(1+len(b.peers))*m.sentWork
+	age := now.Sub(m.ReportedAt)
+	ahead := m.expectedWork(age) + time.Duration(1+len(b.peers))*m.sentWork
 	ahead += time.Duration(costFlow * float64(m.Load.OpenFlows) * float64(m.Load.ServiceTime))
 	t := ahead/time.Duration(max(1, m.Load.Slots)) + request
 	if m.Load.DomainID != b.domain {
 		t += b.otherDomainTime
 	}
-	if m.Load.WarmupLeft > now.Sub(m.ReportedAt) {
+	if m.Load.WarmupLeft > age {
 		t += request
 	}
 	if !m.unansweredSince.IsZero() && now.Sub(m.unansweredSince) > unansweredAfter {
@@ -118,27 +120,31 @@
 	return *n <= candidateLimit
 }
 
-// postponeSlow moves the fallbacks that are expected to answer much later than the best of a path to
-// its end. Sidecars that have too much work send the flow on to the first ones.
-func (b *Balancer) postponeSlow(path *Path, id RouteID, now time.Time) {
+// postponeSlow moves the fallbacks of a path that are expected to answer much later than the best ranked
+// member to its end. Sidecars that have too much work send the flow on to the first ones.
+func (b *Balancer) postponeSlow(path *Path, r *ranking, hash uint64, id RouteID, now time.Time) {
 	var times [RankingDepth]time.Duration
-	best := b.expectedTime(b.members[path.To], id, now)
-	for i, addr := range path.Fallbacks[:path.FallbackCount] {
-		times[i] = b.expectedTime(b.members[addr], id, now)
-		best = min(best, times[i])
+	best := time.Duration(math.MaxInt64)
+	for rank := range r.depth {
+		if m := r.at(hash, rank); m.acceptsFlows(now) {
+			times[rank] = b.expectedTime(m, id, now)
+			best = min(best, times[rank])
+		}
 	}
-	var slow [RankingDepth]netip.AddrPort
-	n, postponed := 0, 0
-	for i, addr := range path.Fallbacks[:path.FallbackCount] {
-		if times[i] > muchLater*best {
-			slow[postponed] = addr
-			postponed++
-			continue
+	for rank := range r.depth {
+		if times[rank] > muchLater*best {
+			path.moveToEnd(r.at(hash, rank).Addr)
 		}
-		path.Fallbacks[n] = addr
-		n++
 	}
-	copy(path.Fallbacks[n:], slow[:postponed])
+}
+
+// moveToEnd makes a sidecar the last fallback, if it is one.
+func (p *Path) moveToEnd(addr netip.AddrPort) {
+	list := p.Fallbacks[:p.FallbackCount]
+	if i := slices.Index(list, addr); i >= 0 {
+		copy(list[i:], list[i+1:])
+		list[len(list)-1] = addr
+	}
 }
 
 // SetPlacement changes when opening packets go to siblings: with PlaceByRequests, if too many requests
--- a/flow/placement.go
+++ b/flow/placement.go
@@ -34,7 +34,7 @@
 	}
 	if b.placement == PlaceByExpectedTime {
 		v.Expected = b.expectedTime(best, id, now)
-		b.postponeSlow(&v.Path, id, now)
+		b.postponeSlow(&v.Path, r, hash, id, now)
 	}
 	best.SentSinceReport++
 	best.sentWork += best.requestTime(id)
--- a/pace/histogram.go
+++ b/pace/histogram.go
@@ -71,7 +71,9 @@
 	for _, w := range h.weights {
 		h.weight += float64(w)
 	}
-	h.limit = outlierLimit * max(prior, h.largestCommon())
+	if h.limit = outlierLimit * h.largestCommon(); h.limit == 0 {
+		h.limit = outlierLimit * prior
+	}
 	sum := 0.0
 	for i, w := range h.weights {
 		sum += min(float64(h.sums[i]), float64(w)*h.limit)
