--- a/flow/expected_time.go
+++ b/flow/expected_time.go
@@ -1,7 +1,9 @@
 package flow
 
 import (
+	"math"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -16,6 +18,22 @@
 	PlaceByExpectedTime
 )
 
+// placementNames are the names of the placements in settings.
+var placementNames = [...]string{"requests", "expected-time"}
+
+// String returns the placement's name in settings.
+func (p Placement) String() string { return placementNames[p] }
+
+// ParsePlacement returns the placement with a name in settings. The empty name is PlaceByRequests.
+func ParsePlacement(name string) (p Placement, ok bool) {
+	i := slices.Index(placementNames[:], name)
+	return Placement(max(0, i)), i >= 0 || name == ""
+}
+
+// DefaultOtherDomainTime is how much sooner a sidecar of another failure domain usually has to answer
+// to get a new flow.
+const DefaultOtherDomainTime = 15 * time.Millisecond
+
 const (
 	// candidateLimit is the number of ranked members of the own failure domain, and of others, that
 	// are compared. With more, all balancers would send their flows to the same few members until
@@ -23,8 +41,6 @@
 	candidateLimit = 3
 	// muchLater is the ratio of expected times above which a member comes last among the fallbacks.
 	muchLater = 2
-	// otherDomainTime is how much sooner a member of another failure domain has to answer.
-	otherDomainTime = 15 * time.Millisecond
 	// unansweredTime is added for a member that left an opening packet unanswered. It is more than
 	// callers wait until they send the packet again.
 	unansweredTime = time.Second
@@ -32,11 +48,17 @@
 	usualWorkGain = 1.0 / 8
 	// waitLimit is how long a request may wait for a slot before its flow goes to a sibling, as a
 	// multiple of the time that a request takes.
-	waitLimit = 1.5
+	waitLimit = 2.5
+	// requestDueIn is how long after its opening packet the first request of a flow is expected.
+	requestDueIn = 100 * time.Millisecond
 )
 
-// SetPlacement changes how new flows are placed. It has to be called before the first packet.
-func (b *Balancer) SetPlacement(p Placement) { b.placement = p }
+// SetPlacement changes how new flows are placed. otherDomainTime is how much sooner a member of another
+// failure domain has to answer; only PlaceByExpectedTime uses it.
+func (b *Balancer) SetPlacement(p Placement, otherDomainTime time.Duration) {
+	b.placement = p
+	b.otherDomainTime = otherDomainTime
+}
 
 // recordWork updates what is known of the member's work for a report that is about to replace the one
 // before it.
@@ -57,10 +79,10 @@
 
 // expectedWork returns the work that the member is expected to have by now. Reported work is done after
 // a time and other work arrives, so an older report says less than what is usual.
-func (m *Member) expectedWork(now time.Time) time.Duration {
+func (m *Member) expectedWork(reportAge time.Duration) time.Duration {
 	slots := time.Duration(max(1, m.Load.Slots))
 	turnover := float64(max(m.Load.Work/slots, m.Load.ServiceTime, time.Millisecond))
-	current := turnover / (turnover + float64(max(0, now.Sub(m.ReportedAt))))
+	current := turnover / (turnover + float64(max(0, reportAge)))
 	return m.usualWork + time.Duration(current*float64(m.Load.Work-m.usualWork))
 }
 
@@ -69,13 +91,14 @@
 // balancers are expected to have sent it as much work as this one since it reported.
 func (b *Balancer) expectedTime(m *Member, id RouteID, now time.Time) time.Duration {
 	request := m.requestTime(id)
-	ahead := m.expectedWork(now) + time.Duration(1+len(b.peers))*m.sentWork
+	age := now.Sub(m.ReportedAt)
+	ahead := m.expectedWork(age) + time.Duration(1+len(b.peers))*m.sentWork
 	ahead += time.Duration(costFlow * float64(m.Load.OpenFlows) * float64(m.Load.ServiceTime))
 	t := ahead/time.Duration(max(1, m.Load.Slots)) + request
 	if m.Load.DomainID != b.domain {
-		t += otherDomainTime
+		t += b.otherDomainTime
 	}
-	if m.Load.WarmupLeft > now.Sub(m.ReportedAt) {
+	if m.Load.WarmupLeft > age {
 		t += request
 	}
 	if !m.unansweredSince.IsZero() && now.Sub(m.unansweredSince) > unansweredAfter {
@@ -97,27 +120,31 @@
 	return *n <= candidateLimit
 }
 
-// postponeSlow moves the fallbacks that are expected to answer much later than the best of a path to
-// its end. Sidecars that have too much work send the flow on to the first ones.
-func (b *Balancer) postponeSlow(path *Path, id RouteID, now time.Time) {
+// postponeSlow moves the fallbacks of a path that are expected to answer much later than the best ranked
+// member to its end. Sidecars that have too much work send the flow on to the first ones.
+func (b *Balancer) postponeSlow(path *Path, r *ranking, hash uint64, id RouteID, now time.Time) {
 	var times [RankingDepth]time.Duration
-	best := b.expectedTime(b.members[path.To], id, now)
-	for i, addr := range path.Fallbacks[:path.FallbackCount] {
-		times[i] = b.expectedTime(b.members[addr], id, now)
-		best = min(best, times[i])
+	best := time.Duration(math.MaxInt64)
+	for rank := range r.depth {
+		if m := r.at(hash, rank); m.acceptsFlows(now) {
+			times[rank] = b.expectedTime(m, id, now)
+			best = min(best, times[rank])
+		}
 	}
-	var slow [RankingDepth]netip.AddrPort
-	n, postponed := 0, 0
-	for i, addr := range path.Fallbacks[:path.FallbackCount] {
-		if times[i] > muchLater*best {
-			slow[postponed] = addr
-			postponed++
-			continue
+	for rank := range r.depth {
+		if times[rank] > muchLater*best {
+			path.moveToEnd(r.at(hash, rank).Addr)
 		}
-		path.Fallbacks[n] = addr
-		n++
 	}
-	copy(path.Fallbacks[n:], slow[:postponed])
+}
+
+// moveToEnd makes a sidecar the last fallback, if it is one.
+func (p *Path) moveToEnd(addr netip.AddrPort) {
+	list := p.Fallbacks[:p.FallbackCount]
+	if i := slices.Index(list, addr); i >= 0 {
+		copy(list[i:], list[i+1:])
+		list[len(list)-1] = addr
+	}
 }
 
 // SetPlacement changes when opening packets go to siblings: with PlaceByRequests, if too many requests
@@ -128,12 +155,23 @@
 // that a sibling may be faster. The balancer's choice rests on a report; this decision does not.
 func (s *Sidecar) waitsTooLong(policy *RequestPolicy, now time.Time) bool {
 	slots := max(1, s.slots())
-	if s.outstanding() < slots {
+	due := s.requestsDue(now)
+	if s.outstanding()+due < slots {
 		return false
 	}
-	limit := time.Duration(waitLimit * float64(s.pace.Pace(now)))
+	pace := s.pace.Pace(now)
+	limit := time.Duration(waitLimit * float64(pace))
 	if policy.LatencyTarget > 0 {
 		limit = min(limit, policy.LatencyTarget)
 	}
-	return s.work(now)/time.Duration(slots) > limit
+	return (s.work(now)+time.Duration(due)*pace)/time.Duration(slots) > limit
+}
+
+// requestsDue returns the number of flows whose first request is still on its way. When many callers
+// open flows at once, the requests in progress do not show yet how many there will be.
+func (s *Sidecar) requestsDue(now time.Time) int {
+	s.opened = slices.DeleteFunc(s.opened, func(f *flowState) bool {
+		return f.route.IsValid() || f.ended != 0 || f.lost || now.Sub(f.offeredAt) > requestDueIn
+	})
+	return len(s.opened)
 }
