The watcher of a store's key moves from platform to operator

Cause: platform/ only translates; following a key through lost history and cut watches is recovery. Change: operator.Watcher, with platform.WatchTarget for what it reads; nothing else.

--- a/balancer/configuration_source.go
+++ b/balancer/configuration_source.go
@@ -14,6 +14,7 @@
 	"greengagedyke/clock"
 	"greengagedyke/daemon"
 	"greengagedyke/flow"
+	"greengagedyke/operator"
 	"greengagedyke/peer"
 	"greengagedyke/platform"
 )
@@ -117,7 +118,7 @@
 
 // watch applies the configurations and evacuations in the store, by watching or polling it, until ctx ends.
 func (s *configurationSource) watch(ctx context.Context) {
-	store := platform.WatchOperatorConfiguration(s.client, s.evacuated)
+	store := operator.NewWatcher(s.client, platform.OperatorTarget(s.log, s.evacuated))
 	for ctx.Err() == nil {
 		v, err := s.next(ctx, store)
 		if ctx.Err() != nil {
@@ -169,7 +170,7 @@
 // next returns the next configuration from the store. A watcher, or a balancer without a
 // configuration, waits for a change; it gets platform.ErrUnchanged if there is none in time, or if it
 // became an active watcher meanwhile. Any other balancer polls the store after idleReadInterval.
-func (s *configurationSource) next(ctx context.Context, store *platform.Watcher) (platform.Value, error) {
+func (s *configurationSource) next(ctx context.Context, store *operator.Watcher) (platform.Value, error) {
 	now := s.clock.Now()
 	s.mu.Lock()
 	idle := len(s.encoded) > 0 && !s.watchers.watching(now)
--- a/balancer/evacuation_test.go
+++ b/balancer/evacuation_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"greengagedyke/operator"
 	"greengagedyke/platform"
 	"greengagedyke/standin/store"
 )
@@ -80,7 +81,7 @@
 	s.write(1)
 	s.evacuate("east", false)
 	client := s.source.client
-	watcher := platform.WatchOperatorConfiguration(client, s.observe)
+	watcher := operator.NewWatcher(client, platform.OperatorTarget(s.source.log, s.observe))
 	if _, err := watcher.ReadStale(t.Context()); err != nil || s.evacuated.Load() != nil {
 		t.Errorf("got %v, %v", s.evacuated.Load(), err)
 	}
--- a/operator/configuration_store.go
+++ b/operator/configuration_store.go
@@ -37,12 +37,14 @@
 // whole revision if it was written again in a later one. Watch must not be called concurrently.
 type ConfigurationStore struct {
 	client  *platform.Client
-	watcher *platform.Watcher
+	watcher *Watcher
 }
 
 // NewConfigurationStore returns a ConfigurationStore that uses client c.
 func NewConfigurationStore(c *platform.Client) *ConfigurationStore {
-	return &ConfigurationStore{client: c, watcher: platform.NewWatcher(c, configurationKey)}
+	ignore := func([]platform.Value, platform.Position, bool) {}
+	target := platform.WatchTarget{Key: configurationKey, Prefix: configurationKey, Observe: ignore}
+	return &ConfigurationStore{client: c, watcher: NewWatcher(c, target)}
 }
 
 // Read returns the configuration in the store; an empty one with revision 0 if there is none.
