An overloaded sidecar forwards a flow only if the next one is quicker

Commitments and flows due were counted twice. Change: with placement by expected time, fallbacks are sorted by the expected times and carry them in the packet's path; a sidecar forwards if its own time is longer. Commitments replace the flows due.

--- a/flow/admission.go
+++ b/flow/admission.go
@@ -35,13 +35,12 @@
 func (s *Sidecar) turnAway(tp *TunnelPacket, now time.Time) (SidecarVerdict, bool) {
 	decision := s.decideAdmission(tp, now)
 	refused := decision == schedule.Refuse || decision == schedule.RefuseLate
-	busy := decision == schedule.AdmitLate || s.overloaded(&tp.Path.Policy, now)
 	switch {
 	case refused && tp.Hop < refusalHops:
 		return forwardToSibling(tp, ReasonOverload), true
 	case refused:
 		return SidecarVerdict{Action: tp.refusal(), Reason: ReasonOverload}, true
-	case busy && tp.Hop < busyHops && tp.Hop < tp.Path.FallbackCount:
+	case tp.Hop < busyHops && tp.Hop < tp.Path.FallbackCount && s.overloaded(tp, now):
 		return forwardToSibling(tp, ReasonUpstreamBusy), true
 	}
 	return SidecarVerdict{}, false
--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -123,6 +123,8 @@
 	// FallbackCount of them are set.
 	Fallbacks     [RankingDepth]netip.AddrPort
 	FallbackCount int
+	// FallbackTimes are the expected times to an answer from each fallback; 0 if unknown.
+	FallbackTimes [RankingDepth]time.Duration
 }
 
 // add appends a fallback, unless all places are taken.
--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -231,14 +231,10 @@
 	if ok {
 		s.removeFlow(tp.Packet.Key, f)
 	}
-	f = &flowState{
+	s.flows[tp.Packet.Key] = &flowState{
 		opening: *tp, offeredAt: now, pending: true, lastUsed: now,
 		retransmissions: tp.Packet.Retransmissions(), policy: tp.Path.Policy,
 	}
-	s.flows[tp.Packet.Key] = f
-	if s.placement == PlaceByExpectedTime {
-		s.opened = append(s.opened, f)
-	}
 	s.pendingOpenings++
 	s.admit(tp, now)
 	s.warmup.record(now)
@@ -246,9 +242,9 @@
 }
 
 // overloaded reports whether so many requests wait that a sibling may be faster.
-func (s *Sidecar) overloaded(policy *RequestPolicy, now time.Time) bool {
+func (s *Sidecar) overloaded(tp *TunnelPacket, now time.Time) bool {
 	if s.placement == PlaceByExpectedTime {
-		return s.waitsTooLong(policy, now)
+		return s.waitsTooLong(tp, now)
 	}
 	slots := max(1, s.monitor.Last().Slots)
 	return s.outstanding() >= slots*(1+queuedPerSlot)
--- a/flow/expected_time.go
+++ b/flow/expected_time.go
@@ -1,8 +1,6 @@
 package flow
 
 import (
-	"math"
-	"net/netip"
 	"slices"
 	"time"
 )
@@ -39,8 +37,6 @@
 	// are compared. With more, all balancers would send their flows to the same few members until
 	// these report again.
 	candidateLimit = 3
-	// muchLater is the ratio of expected times above which a member comes last among the fallbacks.
-	muchLater = 2
 	// unansweredTime is added for a member that left an opening packet unanswered. It is more than
 	// callers wait until they send the packet again.
 	unansweredTime = time.Second
@@ -49,8 +45,6 @@
 	// waitLimit is how long a request may wait for a slot before its flow goes to a sibling, as a
 	// multiple of the time that a request takes.
 	waitLimit = 2.5
-	// requestDueIn is how long after its opening packet the first request of a flow is expected.
-	requestDueIn = 100 * time.Millisecond
 )
 
 // SetPlacement changes how new flows are placed. otherDomainTime is how much sooner a member of another
@@ -120,30 +114,17 @@
 	return *n <= candidateLimit
 }
 
-// postponeSlow moves the fallbacks of a path that are expected to answer much later than the best ranked
-// member to its end. Sidecars that have too much work send the flow on to the first ones.
-func (b *Balancer) postponeSlow(path *Path, r *ranking, hash uint64, id RouteID, now time.Time) {
-	var times [RankingDepth]time.Duration
-	best := time.Duration(math.MaxInt64)
-	for rank := range r.depth {
-		if m := r.at(hash, rank); m.acceptsFlows(now) {
-			times[rank] = b.expectedTime(m, id, now)
-			best = min(best, times[rank])
-		}
-	}
-	for rank := range r.depth {
-		if times[rank] > muchLater*best {
-			path.moveToEnd(r.at(hash, rank).Addr)
+// orderFallbacks sorts the first n fallbacks of a path by the expected times to an answer, and adds these
+// times, so that a sidecar that has too much work sends the flow on only if a sibling is quicker.
+func (b *Balancer) orderFallbacks(path *Path, n int, id RouteID, now time.Time) {
+	addrs, times := path.Fallbacks[:n], path.FallbackTimes[:n]
+	for i, addr := range addrs {
+		t := b.expectedTime(b.members[addr], id, now)
+		at := i
+		for ; at > 0 && times[at-1] > t; at-- {
+			addrs[at], times[at] = addrs[at-1], times[at-1]
 		}
-	}
-}
-
-// moveToEnd makes a sidecar the last fallback, if it is one.
-func (p *Path) moveToEnd(addr netip.AddrPort) {
-	list := p.Fallbacks[:p.FallbackCount]
-	if i := slices.Index(list, addr); i >= 0 {
-		copy(list[i:], list[i+1:])
-		list[len(list)-1] = addr
+		addrs[at], times[at] = addr, t
 	}
 }
 
@@ -151,27 +132,18 @@
 // wait; with PlaceByExpectedTime, if a new request is expected to wait too long.
 func (s *Sidecar) SetPlacement(p Placement) { s.placement = p }
 
-// waitsTooLong reports whether a new request of a policy is expected to wait for a slot for so long
-// that a sibling may be faster. The balancer's choice rests on a report; this decision does not.
-func (s *Sidecar) waitsTooLong(policy *RequestPolicy, now time.Time) bool {
+// waitsTooLong reports whether the first request of a new flow is expected to wait for a slot for so long
+// that the next fallback is quicker. The balancer's choice rests on a report; this decision does not.
+func (s *Sidecar) waitsTooLong(tp *TunnelPacket, now time.Time) bool {
 	slots := max(1, s.slots())
-	due := s.requestsDue(now)
-	if s.outstanding()+due < slots {
+	if s.outstanding()+s.commitments.Len() < slots {
 		return false
 	}
-	pace := s.pace.Pace(now)
-	limit := time.Duration(waitLimit * float64(pace))
-	if policy.LatencyTarget > 0 {
-		limit = min(limit, policy.LatencyTarget)
+	limit := time.Duration(waitLimit * float64(s.pace.Pace(now)))
+	if target := tp.Path.Policy.LatencyTarget; target > 0 {
+		limit = min(limit, target)
 	}
-	return (s.work(now)+time.Duration(due)*pace)/time.Duration(slots) > limit
-}
-
-// requestsDue returns the number of flows whose first request is still on its way. When many callers
-// open flows at once, the requests in progress do not show yet how many there will be.
-func (s *Sidecar) requestsDue(now time.Time) int {
-	s.opened = slices.DeleteFunc(s.opened, func(f *flowState) bool {
-		return f.route.IsValid() || f.ended != 0 || f.lost || now.Sub(f.offeredAt) > requestDueIn
-	})
-	return len(s.opened)
+	wait := s.work(now) / time.Duration(slots)
+	expected := wait + s.pace.ExpectRoute(tp.Packet.Key.Service(), now)
+	return wait > limit && (tp.Hop >= tp.Path.FallbackCount || tp.Path.FallbackTimes[tp.Hop] < expected)
 }
--- a/flow/placement.go
+++ b/flow/placement.go
@@ -32,10 +32,10 @@
 		return b.refuseNoUpstream(p, path.Tag, now)
 	}
 	v.Path.To = best.Addr
-	b.addFallbacks(&v.Path, r, hash, best, now)
+	n := b.addFallbacks(&v.Path, r, hash, best, now)
 	if b.placement == PlaceByExpectedTime {
 		v.Expected = b.expectedTime(best, id, now)
-		b.postponeSlow(&v.Path, r, hash, id, now)
+		b.orderFallbacks(&v.Path, n, id, now)
 	}
 	best.SentSinceReport++
 	best.sentWork += best.requestTime(id)
@@ -48,8 +48,8 @@
 }
 
 // addFallbacks adds the ranked members that accept new flows to a path, but for the chosen one. Those
-// of last resort come last.
-func (b *Balancer) addFallbacks(path *Path, r *ranking, hash uint64, chosen *Member, now time.Time) {
+// of last resort come last; addFallbacks returns the number of the others.
+func (b *Balancer) addFallbacks(path *Path, r *ranking, hash uint64, chosen *Member, now time.Time) int {
 	var later [RankingDepth]*Member
 	n := 0
 	for rank := range r.depth {
@@ -63,9 +63,11 @@
 			path.add(m.Addr)
 		}
 	}
+	usual := path.FallbackCount
 	for _, m := range later[:n] {
 		path.add(m.Addr)
 	}
+	return usual
 }
 
 // cheapest returns the member with the lowest cost among the ranked ones that accept new flows; nil
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -236,8 +236,6 @@
 	pace    *pace.Estimator
 	// placement decides when opening packets go to siblings.
 	placement Placement
-	// opened are the flows for requestsDue; it is only used by PlaceByExpectedTime.
-	opened []*flowState
 	// pendingOpenings is the number of flows with pending set.
 	pendingOpenings int
 	// busy is the number of flows with awaitingAnswer set. Unlike Load.Busy, it does not include
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -69,7 +69,11 @@
 	// origin.
 	pathSize   = 3 + 4 + policySize + 2 + addressSize
 	policySize = 1 + 2 + 2
-	loadSize   = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2 + 2 + 4 + 2 + 2 + evidenceSize + flow.RouteCostCount*routeCostSize
+	// fallbackSize is the length of a fallback's address and its expected time in units of
+	// fallbackTimeUnit.
+	fallbackSize     = addressSize + 1
+	fallbackTimeUnit = 20 * time.Millisecond
+	loadSize         = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2 + 2 + 4 + 2 + 2 + evidenceSize + flow.RouteCostCount*routeCostSize
 	// evidenceSize is the length of a failure share and an answer time.
 	evidenceSize = 1 + 2
 	// routeCostSize is the length of a route's ID and its cost in units of costUnit.
@@ -78,7 +82,7 @@
 	// balancersSize is the length of a KindBalancers body without its evacuations and infos.
 	balancersSize = 8 + 4 + 1
 	// MaxHead is the largest length of the header that AppendPacket appends.
-	MaxHead = commonSize + pathSize + flow.RankingDepth*addressSize
+	MaxHead = commonSize + pathSize + flow.RankingDepth*fallbackSize
 	// MaxAddrs is the largest number of addresses in a KindBalancers or KindSidecars.
 	MaxAddrs = 150
 )
@@ -133,6 +137,7 @@
 	b = appendAddr(b, origin)
 	for i := range p.FallbackCount {
 		b = appendAddr(b, p.Fallbacks[i])
+		b = append(b, byte(max(0, min(p.FallbackTimes[i]/fallbackTimeUnit, math.MaxUint8))))
 	}
 	return b
 }
@@ -149,7 +154,7 @@
 		return nil, ErrTruncated
 	}
 	n := int(b[1])
-	if n > flow.RankingDepth || len(b) < pathSize+n*addressSize {
+	if n > flow.RankingDepth || len(b) < pathSize+n*fallbackSize {
 		return nil, ErrTruncated
 	}
 	p.Hop = int(b[0])
@@ -166,9 +171,11 @@
 	p.Path.FallbackCount = n
 	rest := b[pathSize:]
 	for i := range n {
-		p.Path.Fallbacks[i] = parseAddr(rest[i*addressSize:])
+		fallback := rest[i*fallbackSize:]
+		p.Path.Fallbacks[i] = parseAddr(fallback)
+		p.Path.FallbackTimes[i] = time.Duration(fallback[addressSize]) * fallbackTimeUnit
 	}
-	return rest[n*addressSize:], nil
+	return rest[n*fallbackSize:], nil
 }
 
 // AppendLoad appends a KindLoad.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -33,7 +33,8 @@
 func TestPacket(t *testing.T) {
 	path := flow.Path{
 		Tag: 7, WarmupRate: 12, Confirm: true, FallbackCount: 2, Fallbacks: [flow.RankingDepth]netip.AddrPort{addr1, addr2},
-		Policy: flow.RequestPolicy{Priority: 2, LatencyTarget: 120 * time.Millisecond, Timeout: time.Second},
+		FallbackTimes: [flow.RankingDepth]time.Duration{40 * time.Millisecond},
+		Policy:        flow.RequestPolicy{Priority: 2, LatencyTarget: 120 * time.Millisecond, Timeout: time.Second},
 	}
 	b := append(peer.AppendPacket(nil, &path, 1, addr1, true), "packet"...)
 	var got flow.TunnelPacket
