--- a/balancer/flow_balancer.go
+++ b/balancer/flow_balancer.go
@@ -48,12 +48,15 @@
 	knownBalancers *registry.KnownBalancers
 	codec          platform.PacketCodec
 	counters       *daemon.Counters
-	leaving        atomic.Bool
+	// ejected and readmitted count the changes of outliers.
+	ejected, readmitted metrics.Counter
+	leaving             atomic.Bool
 	// undecided buffers packets until this balancer has a configuration and knows all sidecars.
 	undecided *undecided
 	// lookupAdded is signalled when a packet is buffered for a lookup.
 	lookupAdded chan struct{}
 	source      *configurationSource
+	evacuation  *evacuationGossip
 	// seenSuspension is the VM's total time of suspension at the last suspension that stale detected.
 	// Only the goroutine that reads packets uses it and staleUntil.
 	seenSuspension time.Duration
@@ -76,8 +79,15 @@
 		counters:       daemon.NewCounters(r),
 		balancer:       flow.NewBalancer(cfg.FailureDomain, c.Now()),
 
+		ejected:    metrics.GetOrRegisterCounter("outliers.ejected", r),
+		readmitted: metrics.GetOrRegisterCounter("outliers.readmitted", r),
+
 		undecided:   newUndecided(),
 		lookupAdded: make(chan struct{}, 1),
+		evacuation:  newEvacuationGossip(cfg.FailureDomain, r),
+	}
+	if cfg.DetectOutliers {
+		f.balancer.DetectOutliers()
 	}
 	placement, _ := flow.ParsePlacement(cfg.Placement)
 	f.balancer.SetPlacement(placement, time.Duration(cfg.OtherDomainTime))
@@ -105,7 +115,7 @@
 	defer configurations.Close()
 	client, closeClient := platform.New(f.log, f.cfg.Store, r)
 	defer closeClient()
-	f.source = newConfigurationSource(f.log, client, f.cfg.Tunnel, f.clock, f.configure)
+	f.source = newConfigurationSource(f.log, client, f.cfg.Tunnel, f.clock, f.configure, f.storeEvacuations)
 	reg := registry.New(f.log, client)
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	f.addBalancers(peer.BalancerInfos(daemon.TunnelAddrs(f.cfg.Peers, f.cfg.Tunnel.Port())))
@@ -186,6 +196,7 @@
 		for _, addr := range f.knownBalancers.Expire(now) {
 			f.log.Info("balancer-forgotten", "address", addr.String())
 		}
+		f.tickEvacuations(now)
 		f.gossipToBalancers()
 		f.gossipToSidecars()
 	}
@@ -351,19 +362,24 @@
 }
 
 // handleReport records the load that a sidecar reports. If the sidecar is new or has changed its
-// state or service, handleReport sends it a gossip message.
+// state or service, or does not know the newest evacuations, handleReport sends it a gossip message.
 func (f *FlowBalancer) handleReport(from netip.AddrPort, l flow.Load) {
 	f.counters.Reports.Inc(1)
 	f.mu.Lock()
+	before, _ := f.balancer.Member(from)
 	changed := f.balancer.HandleReport(from, l, f.clock.Now())
+	outliers := f.balancer.TakeOutlierChanges()
 	f.mu.Unlock()
+	f.logOutliers(outliers)
 	if changed {
 		f.log.Info("sidecar-state", "address", from.String(), "state", l.State.String(),
 			"start", l.Incarnation, "sequence", l.Sequence)
 	}
-	if changed {
+	if changed && !isEvacuationChange(before.Load.State, l.State) {
 		f.send(f.balancersMessage(), from)
+		return
 	}
+	f.answerReport(from, &l)
 }
 
 // sendReset sends a reset of flow k to the caller. ack is the Ack field of the caller's packet. The
--- a/balancer/flow_settings.go
+++ b/balancer/flow_settings.go
@@ -30,6 +30,9 @@
 	// OtherDomainTime is how much sooner a sidecar of another failure domain has to answer to get a flow,
 	// if placement is "expected-time".
 	OtherDomainTime service.Duration `json:"other-domain-time,omitempty"`
+	// DetectOutliers makes the balancer send no new flows to upstreams that are clearly worse than the
+	// others of their service: slow, silent, or resetting flows.
+	DetectOutliers bool `json:"outlier-detection,omitempty"`
 	// Metrics is the HTTP address for metrics; they are not served if it is empty.
 	Metrics netip.AddrPort `json:"metrics-address,omitempty"`
 }
--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"greengagedyke/outlier"
 )
 
 // Action says what to do with a packet.
@@ -81,6 +83,13 @@
 	ReasonStale
 	// ReasonTooManyLookups: lookupLimit lookups are in progress already.
 	ReasonTooManyLookups
+	// ReasonWarmingUp: the upstream is warming up and gets no more new flows at the moment.
+	ReasonWarmingUp
+	// ReasonEvacuated: the failure domain is evacuated, or no sidecar of the service outside of evacuated
+	// failure domains accepts new flows.
+	ReasonEvacuated
+	// ReasonOverload: the first request of the flow could not be answered before its caller gives up.
+	ReasonOverload
 	reasonCount
 )
 
@@ -91,7 +100,7 @@
 func (r Reason) String() string {
 	names := [...]string{
 		"none", "no-route", "no-upstream", "placed", "placed-again", "known", "search", "unknown-flow",
-		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost", "queued", "lost", "stale", "too-many-lookups",
+		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost", "queued", "lost", "stale", "too-many-lookups", "warming-up", "evacuated", "overload",
 	}
 	return names[r]
 }
@@ -174,6 +183,10 @@
 	// rankings holds the ranking of each service, computed on first use after a change of its
 	// members.
 	rankings map[Tag]*ranking
+	// placementRankings are the same without the members in evacuated failure domains, while there are
+	// any.
+	placementRankings map[Tag]*ranking
+	evacuations       evacuationTracker
 	// locations caches the sidecars of flows. An entry may be missing or outdated.
 	locations *locationCache
 	// lastExpire is when Expire was last called. runningSince is when Expire last found that this
@@ -207,6 +220,8 @@
 	registered bool
 	// awaited holds the listed members that have neither reported nor expired recently.
 	awaited map[netip.AddrPort]bool
+	// outliers is nil unless outliers are detected.
+	outliers *outliers
 }
 
 // NewBalancer returns a balancer of the given failure domain that starts now.
@@ -220,6 +235,8 @@
 		rankings:   map[Tag]*ranking{},
 		locations:  newLocationCache(),
 
+		placementRankings: map[Tag]*ranking{},
+
 		lookups:    map[Key]*lookup{},
 		queries:    map[uint32]*pendingQuery{},
 		queryID:    rand.Uint32(), // so that late answers to an earlier process match no query
@@ -269,8 +286,9 @@
 	rankingChanged := !ok || m.Load.Tag != l.Tag
 	changed := rankingChanged || m.Load.State != l.State
 	if rankingChanged {
-		delete(b.rankings, m.Load.Tag)
-		delete(b.rankings, l.Tag)
+		b.dropRankings(m.Load.Tag)
+		b.dropRankings(l.Tag)
+		m.outlier = outlier.Member{}
 	}
 	m.recordWork(&l)
 	m.Load = l
@@ -284,6 +302,7 @@
 		delete(b.expiredMembers, from)
 		delete(b.awaited, from)
 	}
+	b.updateOutliers(m, now)
 	return changed
 }
 
@@ -299,7 +318,7 @@
 	for addr, m := range b.members {
 		if m.expired(b.runningSince, now) {
 			delete(b.members, addr)
-			delete(b.rankings, m.Load.Tag)
+			b.dropRankings(m.Load.Tag)
 			b.expiredMembers[addr] = now
 			expired = append(expired, addr)
 		}
@@ -331,11 +350,12 @@
 	return b.rankings[tag]
 }
 
-// MemberCounts returns the number of members, and of those that accept new flows.
+// MemberCounts returns the number of members, and of those that accept new flows or would if their
+// failure domain were not evacuated.
 func (b *Balancer) MemberCounts(now time.Time) (all, ready int) {
 	for _, m := range b.members {
 		all++
-		if m.acceptsFlows(now) {
+		if m.serves(now) {
 			ready++
 		}
 	}
@@ -375,12 +395,12 @@
 	if service == nil {
 		return refuse(p, ReasonNoRoute)
 	}
-	path := Path{Tag: service.Tag, Policy: route.RequestPolicy}
+	path := Path{Tag: service.Tag, Policy: route.RequestPolicy, WarmupRate: service.WarmupRate}
 	if !p.Opening() {
 		return b.lookUp(p, path, loc, now)
 	}
 	if known && b.members[loc.addr].Load.Tag == service.Tag {
-		return b.forwardKnown(p, loc, route, now)
+		return b.forwardKnownOpening(p, loc, route, hash, now)
 	}
 	if known {
 		loc = location{} // the flow was of a service that the route no longer leads to
@@ -388,9 +408,9 @@
 	if l, ok := b.lookups[p.Key]; ok {
 		b.finish(l) // the caller reuses its port for a new flow
 	}
-	r := b.ranking(service.Tag)
+	r := b.placementRanking(service.Tag)
 	if r == nil {
-		return b.refuseNoUpstream(p, now)
+		return b.refuseNoUpstream(p, service.Tag, now)
 	}
 	return b.place(p, r, path, hash, loc, now)
 }
@@ -404,11 +424,11 @@
 
 // refuseNoUpstream refuses a flow that no member accepts. While members may be unknown, it drops
 // the packet instead of resetting the flow, since a retransmission may succeed.
-func (b *Balancer) refuseNoUpstream(p *Packet, now time.Time) BalancerVerdict {
+func (b *Balancer) refuseNoUpstream(p *Packet, tag Tag, now time.Time) BalancerVerdict {
 	if !b.settled(now) {
 		return BalancerVerdict{Action: ActionDrop, Reason: ReasonNoUpstream, Undecided: true}
 	}
-	return refuse(p, ReasonNoUpstream)
+	return refuse(p, b.noUpstreamReason(tag, now))
 }
 
 // CanDecide reports whether packets whose verdict was Undecided can be decided about now.
--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -54,12 +54,14 @@
 	if !f.queued && (s.busy < s.requestLimit() || s.monitor.Last().Slots == 0) && s.queue.Len() == 0 {
 		return false
 	}
-	if !s.queue.add(&tp.Packet, tp.Raw, f.policy, openingAge(f.retransmissions), now) {
-		return f.queued
-	}
 	if !f.queued {
 		f.describeRequest(&tp.Packet)
 	}
+	cost := s.pace.Expect(f.route, f.size, now)
+	if !s.queue.add(&tp.Packet, tp.Raw, f.policy, openingAge(f.retransmissions), cost, now) {
+		return f.queued
+	}
+	s.commitments.Remove(tp.Packet.Key)
 	f.queued = true
 	f.retransmissions = 0
 	f.advance(&tp.Packet)
@@ -99,18 +101,18 @@
 func (s *Sidecar) ReleaseQueued(now time.Time, deliver func(raw []byte)) {
 	// A sidecar that is stopping releases all requests.
 	for s.leaving || s.busy < s.requestLimit() {
-		req := s.queue.pop(now, s.serviceTime)
-		if req == nil {
+		req, ok := s.queue.pop(now, s.monitor.Last().Slots)
+		if !ok {
 			return
 		}
-		f, ok := s.flows[req.key]
+		f, ok := s.flows[req.Key]
 		if !ok || !f.queued {
 			continue
 		}
 		f.queued = false
-		s.observe(LatencyWait, now.Sub(req.arrived))
+		s.observe(LatencyWait, now.Sub(req.Arrived))
 		s.beginRequest(f, now)
-		for _, p := range req.packets {
+		for _, p := range req.Payload {
 			deliver(p.raw)
 			f.recordDelivered(p.raw)
 		}
@@ -141,6 +143,7 @@
 func (s *Sidecar) trackCallerPacket(f *flowState, p *Packet, now time.Time) {
 	f.lastUsed = now
 	if p.Length > 0 && !f.awaitingAnswer && f.ended == 0 && !f.isRetransmission(p) {
+		s.commitments.Remove(p.Key)
 		f.describeRequest(p)
 		s.beginRequest(f, now)
 	}
@@ -201,17 +204,29 @@
 	if tp.Path.Tag != s.tag {
 		return forwardToSibling(tp, ReasonOtherService)
 	}
-	if s.State(now) != StateReady {
+	switch s.State(now) {
+	case StateReady:
+	case StateEvacuated:
+		return s.openEvacuated(tp, now)
+	default:
 		return forwardToSibling(tp, ReasonUpstreamClosed)
 	}
 	f, ok := s.flows[tp.Packet.Key]
-	if ok && !f.lost {
+	delivered := ok && !f.lost
+	s.warmup.learnRate(tp.Path.WarmupRate, now)
+	if s.warmupExhausted(now) {
+		if !delivered {
+			f = nil
+		}
+		return handleExhausted(tp, f)
+	}
+	if delivered {
 		f.lastUsed = now
+		s.warmup.record(now)
 		return SidecarVerdict{Action: ActionUpstream, Reason: ReasonPlacedAgain}
 	}
-	// At most two overloaded sidecars forward the packet.
-	if tp.Hop < tp.Path.FallbackCount && tp.Hop < 2 && s.overloaded(&tp.Path.Policy, now) {
-		return forwardToSibling(tp, ReasonUpstreamBusy)
+	if v, ok := s.turnAway(tp, now); ok {
+		return v
 	}
 	if ok {
 		s.removeFlow(tp.Packet.Key, f)
@@ -225,6 +240,8 @@
 		s.opened = append(s.opened, f)
 	}
 	s.pendingOpenings++
+	s.admit(tp, now)
+	s.warmup.record(now)
 	return SidecarVerdict{Action: ActionUpstream, Reason: ReasonPlaced}
 }
 
--- a/flow/expected_time.go
+++ b/flow/expected_time.go
@@ -121,7 +121,7 @@
 }
 
 // postponeSlow moves the fallbacks of a path that are expected to answer much later than the best ranked
-// member to its end. Sidecars that have too much work send the flow on to the first ones.
+// member to its end, before those of last resort. Sidecars that have too much work send the flow on to the first ones.
 func (b *Balancer) postponeSlow(path *Path, r *ranking, hash uint64, id RouteID, now time.Time) {
 	var times [RankingDepth]time.Duration
 	best := time.Duration(math.MaxInt64)
@@ -131,9 +131,12 @@
 			best = min(best, times[rank])
 		}
 	}
-	for rank := range r.depth {
-		if times[rank] > muchLater*best {
-			path.moveToEnd(r.at(hash, rank).Addr)
+	for _, lastResort := range [...]bool{false, true} {
+		for rank := range r.depth {
+			m := r.at(hash, rank)
+			if m.lastResort(path.WarmupRate, now) == lastResort && (lastResort || times[rank] > muchLater*best) {
+				path.moveToEnd(m.Addr)
+			}
 		}
 	}
 }
--- a/flow/expected_time_test.go
+++ b/flow/expected_time_test.go
@@ -313,7 +313,7 @@
 		}, now)
 	}
 	for id, want := range map[RouteID]netip.AddrPort{cheap: memberAddr(1), dear: memberAddr(0)} {
-		if got := b.cheapest(b.ranking(TagOf(testServiceName)), 0, netip.AddrPort{}, id, now); got.Addr != want {
+		if got := b.cheapest(b.ranking(TagOf(testServiceName)), 0, netip.AddrPort{}, id, 0, now); got.Addr != want {
 			t.Errorf("route %d: placed at %v, want %v", id, got.Addr, want)
 		}
 	}
--- a/flow/member.go
+++ b/flow/member.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"greengagedyke/outlier"
 )
 
 // State says whether an upstream accepts new flows.
@@ -17,11 +19,14 @@
 	StateReady
 	// StateLeaving means that the upstream keeps its flows and accepts no new ones.
 	StateLeaving
+	// StateEvacuated means that the upstream keeps its flows and accepts no new ones, since its failure
+	// domain is evacuated.
+	StateEvacuated
 )
 
 // String returns the state's name.
 func (s State) String() string {
-	names := [...]string{"waiting", "ready", "leaving"}
+	names := [...]string{"waiting", "ready", "leaving", "evacuated"}
 	if int(s) >= len(names) {
 		return "unknown"
 	}
@@ -51,8 +56,8 @@
 	Flows uint16
 	// WarmupLeft is how much longer the upstream is slow after its start.
 	WarmupLeft time.Duration
-	// WarmupRoom is the number of flows that the upstream takes at this moment while it warms up; it
-	// is only set if the flows' service has a warm-up rate.
+	// WarmupRoom is the number of flows that the upstream takes at this moment while it warms up;
+	// MaxUint16 if the sidecar knows of no warm-up rate.
 	WarmupRoom uint16
 	// Work is the time that the upstream is expected to need for the requests that it has or that are
 	// queued, summed over the requests.
@@ -63,6 +68,8 @@
 	OpenFlows uint16
 	// RouteCosts are the expected times for one request of the routes with the most requests.
 	RouteCosts [RouteCostCount]RouteCost
+	// Evidence describes the recent outcomes of the upstream's requests.
+	Evidence outlier.Evidence
 	// Interval is the time until the next report if the state does not change.
 	Interval time.Duration
 }
@@ -94,6 +101,8 @@
 	needsProbes bool
 	// lastQueried is when the member was last queried as a ranked member.
 	lastQueried time.Time
+	// outlier says whether the upstream is worse than it says.
+	outlier outlier.Member
 	// seed is a hash of Addr from which the member's scores in rankings are computed.
 	seed uint64
 }
--- a/flow/placement.go
+++ b/flow/placement.go
@@ -10,6 +10,12 @@
 	return m.Load.State == StateReady && !m.silent(now)
 }
 
+// serves reports whether the member accepts new flows, or would if its failure domain were not
+// evacuated.
+func (m *Member) serves(now time.Time) bool {
+	return (m.Load.State == StateReady || m.Load.State == StateEvacuated) && !m.silent(now)
+}
+
 // place chooses the sidecar for an opening packet. A retransmission goes to another sidecar than
 // the packet before it, which was not answered, unless no other sidecar accepts new flows.
 func (b *Balancer) place(p *Packet, r *ranking, path Path, hash uint64, loc location, now time.Time) BalancerVerdict {
@@ -21,23 +27,19 @@
 		}
 	}
 	id := routeID(p.Key.Service())
-	best := b.cheapest(r, hash, loc.addr, id, now)
+	best := b.cheapest(r, hash, loc.addr, id, path.WarmupRate, now)
 	if best == nil {
-		return b.refuseNoUpstream(p, now)
+		return b.refuseNoUpstream(p, path.Tag, now)
 	}
 	v.Path.To = best.Addr
-	for rank := range r.depth {
-		m := r.at(hash, rank)
-		if m != best && m.acceptsFlows(now) {
-			v.Path.add(m.Addr)
-		}
-	}
+	b.addFallbacks(&v.Path, r, hash, best, now)
 	if b.placement == PlaceByExpectedTime {
 		v.Expected = b.expectedTime(best, id, now)
 		b.postponeSlow(&v.Path, r, hash, id, now)
 	}
 	best.SentSinceReport++
 	best.sentWork += best.requestTime(id)
+	best.outlier.Sent()
 	if best.unansweredSince.IsZero() {
 		best.unansweredSince = now
 	}
@@ -45,10 +47,32 @@
 	return v
 }
 
+// addFallbacks adds the ranked members that accept new flows to a path, but for the chosen one. Those
+// of last resort come last.
+func (b *Balancer) addFallbacks(path *Path, r *ranking, hash uint64, chosen *Member, now time.Time) {
+	var later [RankingDepth]*Member
+	n := 0
+	for rank := range r.depth {
+		m := r.at(hash, rank)
+		switch {
+		case m == chosen || !m.acceptsFlows(now):
+		case m.lastResort(path.WarmupRate, now):
+			later[n] = m
+			n++
+		default:
+			path.add(m.Addr)
+		}
+	}
+	for _, m := range later[:n] {
+		path.add(m.Addr)
+	}
+}
+
 // cheapest returns the member with the lowest cost among the ranked ones that accept new flows; nil
-// if there is none. The member at avoid is only returned if it is the only one.
-func (b *Balancer) cheapest(r *ranking, hash uint64, avoid netip.AddrPort, id RouteID, now time.Time) *Member {
-	var best, last *Member
+// if there is none. Only if there are no others, it returns one of last resort, or else the one at
+// avoid.
+func (b *Balancer) cheapest(r *ranking, hash uint64, avoid netip.AddrPort, id RouteID, warmupRate uint16, now time.Time) *Member {
+	var best, resort, last *Member
 	var lowest float64
 	var compared candidates
 	for rank := range r.depth {
@@ -60,6 +84,12 @@
 			last = m
 			continue
 		}
+		if m.lastResort(warmupRate, now) {
+			if resort == nil {
+				resort = m
+			}
+			continue
+		}
 		if b.placement == PlaceByExpectedTime && !compared.add(m.Load.DomainID == b.domain) {
 			continue
 		}
@@ -68,10 +98,13 @@
 			best, lowest = m, cost
 		}
 	}
-	if best == nil {
-		return last
+	switch {
+	case best != nil:
+		return best
+	case resort != nil:
+		return resort
 	}
-	return best
+	return last
 }
 
 // cost returns the cost of sending a new flow of a route to the member, in the unit of the placement.
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -4,7 +4,9 @@
 	"net/netip"
 	"time"
 
+	"greengagedyke/outlier"
 	"greengagedyke/pace"
+	"greengagedyke/schedule"
 )
 
 const (
@@ -38,9 +40,8 @@
 	// spareRequests is the number of requests that an upstream gets beyond its slots, so that no
 	// slot idles while an answer and the next request are on their way.
 	spareRequests = 1
-	// serviceTimeGain is the weight of a new value in the moving average serviceTime.
-	serviceTimeGain = 0.05
-	// defaultServiceTime is the initial value of serviceTime.
+	// defaultServiceTime is how long the upstream is expected to take for a request before it has
+	// answered some.
 	defaultServiceTime = 20 * time.Millisecond
 	// probeLimit bounds the probes that a call of Expire keeps.
 	probeLimit = 10_000
@@ -216,14 +217,20 @@
 	// notListeningSince is when a check first found nothing listening at the upstream's address,
 	// with no heartbeat or data since; otherwise zero.
 	notListeningSince time.Time
-	check             flowCheck
+	// notListeningAt is when a check last found that.
+	notListeningAt time.Time
+	check          flowCheck
 	// flows holds the flows of the upstream and of the upstreams before it, until they expire.
 	flows map[Key]*flowState
 	// probes holds the newest probe for each flow that this process has no record of.
 	probes map[Key]probe
 	queue  Queue
-	// serviceTime is the moving average of the time from a request to the first byte of its answer.
-	serviceTime time.Duration
+	// commitments are the flows that were opened and whose first request has not arrived.
+	commitments schedule.Commitments[Key]
+	admission   admission
+	warmup      warmupLimit
+	// outcomes are those of the requests of the present upstream.
+	outcomes outlier.Recorder
 	// running tracks the requests that the upstream has, and pace how long it takes for requests.
 	running running
 	pace    *pace.Estimator
@@ -238,6 +245,11 @@
 	busy int
 	// leaving is set once this sidecar is stopping.
 	leaving bool
+	// domain is the ID of the sidecar's failure domain; 0 if it is unknown.
+	domain      uint32
+	evacuations evacuationTracker
+	// evacuationEndedAt is when the newest evacuation of the domain ended; zero if none has.
+	evacuationEndedAt time.Time
 	// observe is called with each measured latency.
 	observe func(Latency, time.Duration)
 	// idleTimeout is how long a flow is kept without a packet.
@@ -253,10 +265,10 @@
 		started:     now,
 		flows:       map[Key]*flowState{},
 		probes:      map[Key]probe{},
-		serviceTime: defaultServiceTime,
 		pace:        pace.New(defaultServiceTime),
 		observe:     func(Latency, time.Duration) {},
 		idleTimeout: idleTimeout,
+		warmup:      warmupLimit{countedSince: now},
 	}
 }
 
@@ -270,7 +282,13 @@
 	crashed := s.upstreamCrashed(now)
 	outcome := s.monitor.Heartbeat(hb, crashed || s.monitor.ending, now)
 	if outcome == HeartbeatStarted {
-		s.tag = TagOf(hb.Service)
+		s.outcomes = outlier.Recorder{}
+	}
+	if tag := TagOf(hb.Service); outcome == HeartbeatStarted && tag != s.tag {
+		s.tag = tag
+		s.warmup.rate = 0 // it was the rate of the other service
+	}
+	if outcome == HeartbeatStarted {
 		s.pace = pace.New(defaultServiceTime)
 	}
 	if outcome == HeartbeatStarted && crashed {
@@ -309,7 +327,8 @@
 func (s *Sidecar) Leave() { s.leaving = true }
 
 // State returns the state that is reported to balancers: StateLeaving if this sidecar is stopping,
-// otherwise whether the upstream accepts new flows.
+// StateEvacuated if the upstream would accept new flows but its failure domain is evacuated, otherwise
+// whether the upstream accepts new flows.
 func (s *Sidecar) State(now time.Time) State {
 	state := s.monitor.State(now)
 	switch {
@@ -317,6 +336,8 @@
 		return StateLeaving
 	case state == StateReady && s.absent:
 		return StateWaiting
+	case state == StateReady && s.Evacuated(now):
+		return StateEvacuated
 	}
 	return state
 }
@@ -351,6 +372,8 @@
 	if listens {
 		s.listenedAt = at
 		s.expireCalls = 0
+	} else {
+		s.notListeningAt = at
 	}
 	switch {
 	case listens || s.monitor.receivedAt.After(at) || s.lastServed.After(at):
@@ -389,7 +412,9 @@
 		Slots:         uint16(max(0, min(last.Slots, 1<<16-1))),
 		Busy:          uint16(min(s.outstanding(), 1<<16-1)),
 		Flows:         uint16(min(len(s.flows), 1<<16-1)),
-		WarmupLeft:    max(0, last.WarmupLeft-s.monitor.Age(now)),
+		WarmupLeft:    s.warmupLeft(now),
+		WarmupRoom:    s.warmup.room(now),
+		Evidence:      s.outcomes.Evidence(now),
 	}
 	s.addWork(&l, now)
 	return l
@@ -405,6 +430,7 @@
 	}
 	s.finishRequest(f)
 	s.dropQueued(k, f)
+	s.commitments.Remove(k)
 	delete(s.flows, k)
 }
 
@@ -421,6 +447,7 @@
 		f.pending = false
 		s.pendingOpenings--
 		s.monitor.unanswered()
+		s.outcomes.Failed(now)
 		f.opening.Offered = true
 		send(&f.opening, forwardToSibling(&f.opening, ReasonUnanswered))
 	}
@@ -430,7 +457,10 @@
 // no longer count as busy. Expire has to be called about once a second.
 func (s *Sidecar) Expire(now time.Time) {
 	s.expireCalls++
+	s.queue.expire(now)
+	s.expireEvacuations(now)
 	for k, f := range s.flows {
+		s.recordOverdue(f, now)
 		if f.awaitingAnswer && now.Sub(f.requestStart) > max(f.policy.Timeout, defaultTimeout/2) {
 			s.observeUnfinished(f, now)
 			s.finishRequest(f)
--- a/flow/upstream_packets.go
+++ b/flow/upstream_packets.go
@@ -46,6 +46,7 @@
 
 // trackUpstreamPacket updates a flow's state for a packet of the upstream.
 func (s *Sidecar) trackUpstreamPacket(f *flowState, p *Packet, now time.Time) {
+	s.recordOutcome(f, p, now)
 	if f.pending {
 		f.pending = false
 		s.pendingOpenings--
@@ -80,11 +81,10 @@
 	}
 }
 
-// recordAnswerTime updates serviceTime when a request is answered.
+// recordAnswerTime records how long a request waited for its answer.
 func (s *Sidecar) recordAnswerTime(f *flowState, now time.Time) {
 	if f.awaitingAnswer && !f.requestStart.IsZero() {
 		s.observe(LatencyAnswer, now.Sub(f.requestStart))
-		s.serviceTime += time.Duration(serviceTimeGain * float64(now.Sub(f.requestStart)-s.serviceTime))
 	}
 }
 
--- a/flow/work.go
+++ b/flow/work.go
@@ -60,9 +60,15 @@
 	}
 }
 
-// work returns how long the upstream is expected to need for the requests that it has or that are
-// queued, summed over the requests.
+// work returns how long the upstream is expected to need for the requests that it has, those that are
+// queued, and those of flows that were opened and whose first request has not arrived.
 func (s *Sidecar) work(now time.Time) time.Duration {
+	s.commitments.Expire(now)
+	return s.runningWork(now) + s.queue.Work() + s.commitments.Work()
+}
+
+// runningWork returns how long the upstream is expected to need for the requests that it has.
+func (s *Sidecar) runningWork(now time.Time) time.Duration {
 	s.running.start(s.slots(), now)
 	var total time.Duration
 	for _, f := range s.running.active {
@@ -71,7 +77,7 @@
 	for _, f := range s.running.waiting {
 		total += s.pace.Expect(f.route, f.size, now)
 	}
-	return total + time.Duration(s.queue.Len())*s.pace.Pace(now)
+	return total
 }
 
 // addWork sets the fields of a report that say how much work the upstream has and how long it takes
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -124,18 +124,35 @@
 	return seconds(e.all.remaining(elapsed.Seconds(), e.initial.Seconds(), now))
 }
 
+// ExpectRoute returns the expected duration of a request of a route, over all sizes.
+func (e *Estimator) ExpectRoute(to netip.AddrPort, now time.Time) time.Duration {
+	r, ok := e.routes[to]
+	if !ok {
+		return e.Pace(now)
+	}
+	_, d := r.cost(e.pace(now), now)
+	return d
+}
+
+// cost returns the recent number of a route's requests and their expected duration, over all sizes.
+// prior is the pace of the upstream in seconds.
+func (r *route) cost(prior float64, now time.Time) (float64, time.Duration) {
+	weight, sum := 0.0, 0.0
+	for i := range r.sizes {
+		w := r.sizes[i].weight * r.sizes[i].age(now)
+		weight += w
+		sum += w * r.sizes[i].mean
+	}
+	return weight, seconds((sum + priorWeight*prior) / (weight + priorWeight))
+}
+
 // Costs calls yield with each known route, its recent number of requests and their expected duration,
 // over all sizes.
 func (e *Estimator) Costs(now time.Time, yield func(to netip.AddrPort, weight float64, d time.Duration)) {
 	prior := e.pace(now)
 	for to, r := range e.routes {
-		weight, sum := 0.0, 0.0
-		for i := range r.sizes {
-			w := r.sizes[i].weight * r.sizes[i].age(now)
-			weight += w
-			sum += w * r.sizes[i].mean
-		}
-		yield(to, weight, seconds((sum+priorWeight*prior)/(weight+priorWeight)))
+		weight, d := r.cost(prior, now)
+		yield(to, weight, d)
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"greengagedyke/flow"
+	"greengagedyke/outlier"
 )
 
 // Kind is the type of a datagram.
@@ -68,12 +69,14 @@
 	// origin.
 	pathSize   = 3 + 4 + policySize + 2 + addressSize
 	policySize = 1 + 2 + 2
-	loadSize   = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2 + 2 + 4 + 2 + 2 + flow.RouteCostCount*routeCostSize
+	loadSize   = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2 + 2 + 4 + 2 + 2 + evidenceSize + flow.RouteCostCount*routeCostSize
+	// evidenceSize is the length of a failure share and an answer time.
+	evidenceSize = 1 + 2
 	// routeCostSize is the length of a route's ID and its cost in units of costUnit.
 	routeCostSize = 4 + 2
 	costUnit      = 100 * time.Microsecond
-	// balancersSize is the length of a KindBalancers body without its infos.
-	balancersSize = 8 + 4
+	// balancersSize is the length of a KindBalancers body without its evacuations and infos.
+	balancersSize = 8 + 4 + 1
 	// MaxHead is the largest length of the header that AppendPacket appends.
 	MaxHead = commonSize + pathSize + flow.RankingDepth*addressSize
 	// MaxAddrs is the largest number of addresses in a KindBalancers or KindSidecars.
@@ -189,6 +192,8 @@
 	b = binary.BigEndian.AppendUint16(b, milliseconds(l.ServiceTime))
 	b = binary.BigEndian.AppendUint16(b, milliseconds(l.Interval))
 	b = binary.BigEndian.AppendUint16(b, l.OpenFlows)
+	b = append(b, evidenceByte(&l.Evidence))
+	b = binary.BigEndian.AppendUint16(b, milliseconds(l.Evidence.AnswerTime))
 	for _, c := range l.RouteCosts {
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Route))
 		b = binary.BigEndian.AppendUint16(b, uint16(max(0, min(c.Cost/costUnit, math.MaxUint16))))
@@ -217,6 +222,7 @@
 		ServiceTime:   time.Duration(binary.BigEndian.Uint16(b[37:])) * time.Millisecond,
 		Interval:      time.Duration(binary.BigEndian.Uint16(b[39:])) * time.Millisecond,
 		OpenFlows:     binary.BigEndian.Uint16(b[41:]),
+		Evidence:      parseEvidence(b[43:]),
 	}
 	for i := range l.RouteCosts {
 		c := b[loadSize-(flow.RouteCostCount-i)*routeCostSize:]
@@ -228,6 +234,28 @@
 	return l, nil
 }
 
+// maxShare encodes a failure share of 1, and 1 a share of 0. A byte of 0 means that there is no evidence.
+const maxShare = math.MaxUint8
+
+// evidenceByte encodes whether evidence is known, and its failure share.
+func evidenceByte(e *outlier.Evidence) byte {
+	if !e.Known {
+		return 0
+	}
+	return byte(1 + math.Round(max(0, min(e.FailureShare, 1))*(maxShare-1)))
+}
+
+// parseEvidence reads evidence; b has at least 3 bytes.
+func parseEvidence(b []byte) outlier.Evidence {
+	if b[0] == 0 {
+		return outlier.Evidence{}
+	}
+	return outlier.Evidence{
+		Known: true, FailureShare: float64(b[0]-1) / (maxShare - 1),
+		AnswerTime: time.Duration(binary.BigEndian.Uint16(b[1:])) * time.Millisecond,
+	}
+}
+
 // AppendFlowHeld appends a KindFlowHeld for flow k.
 func AppendFlowHeld(b []byte, k flow.Key) []byte {
 	return k.AppendBinary(append(b, magic, byte(KindFlowHeld)))
@@ -302,6 +330,9 @@
 	Version uint64
 	// SidecarCount is the number of sidecars that report to the sender.
 	SidecarCount int
+	// Evacuations are the newest evacuations that the sender knows; the zero value if no process is
+	// known to have had any.
+	Evacuations flow.Evacuations
 	// Infos describes the sender and other balancers.
 	Infos []BalancerInfo
 }
@@ -311,6 +342,7 @@
 	b = append(b, magic, byte(KindBalancers))
 	b = binary.BigEndian.AppendUint64(b, l.Version)
 	b = binary.BigEndian.AppendUint32(b, uint32(l.SidecarCount))
+	b = appendEvacuations(b, &l.Evacuations)
 	for _, info := range l.Infos[:min(len(l.Infos), MaxAddrs)] {
 		b = appendAddr(b, info.Addr)
 		age := byte(max(0, min((info.Age+ageUnit-1)/ageUnit, maxAgeUnits)))
@@ -324,11 +356,16 @@
 
 // ParseBalancers parses the body of a KindBalancers.
 func ParseBalancers(b []byte) (Balancers, error) {
-	if len(b) < balancersSize || (len(b)-balancersSize)%balancerInfoSize != 0 {
+	if len(b) < balancersSize {
 		return Balancers{}, ErrTruncated
 	}
 	l := Balancers{Version: binary.BigEndian.Uint64(b), SidecarCount: int(binary.BigEndian.Uint32(b[8:]))}
-	for rest := b[balancersSize:]; len(rest) > 0; rest = rest[balancerInfoSize:] {
+	evacuations, rest, err := parseEvacuations(b[balancersSize-1:])
+	if err != nil || len(rest)%balancerInfoSize != 0 {
+		return Balancers{}, ErrTruncated
+	}
+	l.Evacuations = evacuations
+	for ; len(rest) > 0; rest = rest[balancerInfoSize:] {
 		age := rest[addressSize]
 		l.Infos = append(l.Infos, BalancerInfo{
 			Addr: parseAddr(rest), Age: time.Duration(age&maxAgeUnits) * ageUnit, StoreReachable: age&flagStoreReachable != 0,
--- a/standin/flowtest/flows_test.go
+++ b/standin/flowtest/flows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -64,7 +65,11 @@
 	sidecars     [3]*daemon
 	upstreams    [3]*flowtest.Upstream
 	stopUpstream [3]func()
-	logs         logBuffer
+	// domains are the failure domains of the sidecars; empty for a.
+	domains [3]string
+	logs    logBuffer
+	// detectOutliers is a setting of the balancers that are started from now on.
+	detectOutliers bool
 }
 
 // newSite starts a site and waits until its balancers are ready.
@@ -181,6 +186,8 @@
 		Tunnel: s.block.Addr(balancerSubnet, i+1, tunnelPort),
 		Store:  s.block.Addr(0, 2, storePort),
 		Peers:  []netip.AddrPort{s.block.Addr(balancerSubnet, 1, controlPort)},
+
+		DetectOutliers: s.detectOutliers,
 	}
 	log := s.logger().With("process", cfg.Identity)
 	s.balancers[i] = startDaemon(func(ctx, abort context.Context) error {
@@ -190,7 +197,7 @@
 
 func (s *site) startSidecar(i int) {
 	cfg := &sidecar.FlowSettings{
-		Identity: fmt.Sprintf("sidecar-%d", i), FailureDomain: "a", Service: coreService,
+		Identity: fmt.Sprintf("sidecar-%d", i), FailureDomain: cmp.Or(s.domains[i], "a"), Service: coreService,
 		Tunnel:       s.block.Addr(sidecarSubnet, i+1, packetsPort),
 		Outbound:     s.block.Addr(sidecarSubnet, i+1, outboundPort),
 		Upstream:     s.block.Addr(sidecarSubnet, i+1, upstreamPort),
