--- a/balancer/flow_settings.go
+++ b/balancer/flow_settings.go
@@ -24,15 +24,15 @@
 	// Peers are addresses of other balancers' VMs, used until the store can be read. The port is
 	// ignored: peers use the same tunnel port as this balancer.
 	Peers []netip.AddrPort `json:"peers,omitempty"`
+	// DetectOutliers makes the balancer send no new flows to upstreams that are clearly worse than the
+	// others of their service: slow, silent, or resetting flows.
+	DetectOutliers bool `json:"outlier-detection,omitempty"`
 	// Placement says how the sidecar for a new flow is chosen: "requests" (the default) for the one with
 	// the fewest requests per slot, "expected-time" for the one that is expected to answer first.
 	Placement string `json:"placement,omitempty"`
 	// OtherDomainTime is how much sooner a sidecar of another failure domain has to answer to get a flow,
 	// if placement is "expected-time".
 	OtherDomainTime service.Duration `json:"other-domain-time,omitempty"`
-	// DetectOutliers makes the balancer send no new flows to upstreams that are clearly worse than the
-	// others of their service: slow, silent, or resetting flows.
-	DetectOutliers bool `json:"outlier-detection,omitempty"`
 	// Metrics is the HTTP address for metrics; they are not served if it is empty.
 	Metrics netip.AddrPort `json:"metrics-address,omitempty"`
 }
--- a/flow/expected_time.go
+++ b/flow/expected_time.go
@@ -121,7 +121,8 @@
 }
 
 // postponeSlow moves the fallbacks of a path that are expected to answer much later than the best ranked
-// member to its end, before those of last resort. Sidecars that have too much work send the flow on to the first ones.
+// member to its end, before those of last resort. Sidecars that have too much work send the flow on to
+// the first ones.
 func (b *Balancer) postponeSlow(path *Path, r *ranking, hash uint64, id RouteID, now time.Time) {
 	var times [RankingDepth]time.Duration
 	best := time.Duration(math.MaxInt64)
--- a/sidecar/flow_settings.go
+++ b/sidecar/flow_settings.go
@@ -45,6 +45,9 @@
 	// Placement says when a new flow goes to a sibling: "requests" (the default) if too many requests
 	// wait for a slot, "expected-time" if a request is expected to wait too long.
 	Placement string `json:"placement,omitempty"`
+	// Admission makes the sidecar refuse new flows whose first request can't be answered before its
+	// caller gives up.
+	Admission bool `json:"admission,omitempty"`
 	// Metrics is the HTTP address for metrics; none if empty.
 	Metrics netip.AddrPort `json:"metrics-address,omitempty"`
 	// Reload reads the settings file again; nil if the settings cannot change.
