Forwarding: times of fallbacks as reported, in the order of the expected ones

Change: fallbacks carry the reported time; a flow is forwarded unless that is twice as long as here.

--- a/flow/expected_time.go
+++ b/flow/expected_time.go
@@ -45,6 +45,9 @@
 	// waitLimit is how long a request may wait for a slot before its flow goes to a sibling, as a
 	// multiple of the time that a request takes.
 	waitLimit = 2.5
+	// forwardRatio is how much longer than here the answer of a sibling may be expected to take, as of its
+	// last report, for a flow to be forwarded there.
+	forwardRatio = 2
 )
 
 // SetPlacement changes how new flows are placed. otherDomainTime is how much sooner a member of another
@@ -84,9 +87,15 @@
 // that is sent to the member now, with the prices of other reasons to avoid the member. The other
 // balancers are expected to have sent it as much work as this one since it reported.
 func (b *Balancer) expectedTime(m *Member, id RouteID, now time.Time) time.Duration {
+	sent := time.Duration(1+len(b.peers)) * m.sentWork
+	return b.reportedTime(m, id, now) + sent/time.Duration(max(1, m.Load.Slots))
+}
+
+// reportedTime is expectedTime without the work that was sent to the member since its report.
+func (b *Balancer) reportedTime(m *Member, id RouteID, now time.Time) time.Duration {
 	request := m.requestTime(id)
 	age := now.Sub(m.ReportedAt)
-	ahead := m.expectedWork(age) + time.Duration(1+len(b.peers))*m.sentWork
+	ahead := m.expectedWork(age)
 	ahead += time.Duration(costFlow * float64(m.Load.OpenFlows) * float64(m.Load.ServiceTime))
 	t := ahead/time.Duration(max(1, m.Load.Slots)) + request
 	if m.Load.DomainID != b.domain {
@@ -114,17 +123,21 @@
 	return *n <= candidateLimit
 }
 
-// orderFallbacks sorts the first n fallbacks of a path by the expected times to an answer, and adds these
-// times, so that a sidecar that has too much work sends the flow on only if a sibling is quicker.
+// orderFallbacks sorts the first n fallbacks of a path by their reported times to an answer, and adds these
+// times, so that a sidecar that has too much work sends the flow on only if a sibling is quicker. What was
+// sent since the reports is left out: it is known for this balancer alone, and an estimate that is too high
+// keeps flows at the sidecar that has too much work.
 func (b *Balancer) orderFallbacks(path *Path, n int, id RouteID, now time.Time) {
 	addrs, times := path.Fallbacks[:n], path.FallbackTimes[:n]
+	var order [RankingDepth]time.Duration
 	for i, addr := range addrs {
-		t := b.expectedTime(b.members[addr], id, now)
+		m := b.members[addr]
+		t, reported := b.expectedTime(m, id, now), b.reportedTime(m, id, now)
 		at := i
-		for ; at > 0 && times[at-1] > t; at-- {
-			addrs[at], times[at] = addrs[at-1], times[at-1]
+		for ; at > 0 && order[at-1] > t; at-- {
+			addrs[at], times[at], order[at] = addrs[at-1], times[at-1], order[at-1]
 		}
-		addrs[at], times[at] = addr, t
+		addrs[at], times[at], order[at] = addr, reported, t
 	}
 }
 
@@ -145,5 +158,5 @@
 	}
 	wait := s.work(now) / time.Duration(slots)
 	expected := wait + s.pace.ExpectRoute(tp.Packet.Key.Service(), now)
-	return wait > limit && (tp.Hop >= tp.Path.FallbackCount || tp.Path.FallbackTimes[tp.Hop] < expected)
+	return wait > limit && (tp.Hop >= tp.Path.FallbackCount || tp.Path.FallbackTimes[tp.Hop] < time.Duration(forwardRatio*float64(expected)))
 }
