Bound the flush of the log at the end of a process

Cause: flush waited until the writer goroutine had written all queued lines. While standard output accepts no data, that wait has no bound: a balancer or sidecar that has left does not end.

Change: flush waits at most 1 s; lines still queued are lost.

TestFlushIsBounded failed before (no return within 5 s), passes now.

--- a/logs/logs.go
+++ b/logs/logs.go
@@ -20,6 +20,9 @@
 	maxQueuedLines = 2048
 	// flushInterval is how long lines are collected into one write.
 	flushInterval = 100 * time.Millisecond
+	// flushTimeout is how long the flush at the end of a process waits for a stream that accepts no
+	// data. The lines that are still queued are then lost.
+	flushTimeout = time.Second
 )
 
 // limitHandler limits the rate of the lines that it passes to the wrapped handler.
@@ -72,7 +75,7 @@
 }
 
 // New returns a logger that writes JSON lines to w, and a function that writes the queued lines
-// and stops the writer goroutine. If lines were omitted, the next line has their number as the
+// and stops the writer goroutine, within flushTimeout. If lines were omitted, the next line has their number as the
 // attribute "omitted-lines".
 func New(w io.Writer) (*slog.Logger, func()) {
 	var omitted atomic.Int64
@@ -90,7 +93,10 @@
 	}
 	return slog.New(h), func() {
 		close(stop)
-		<-done
+		select {
+		case <-done:
+		case <-time.After(flushTimeout):
+		}
 	}
 }
 
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -57,6 +57,25 @@
 	flush()
 }
 
+// A process that stops must end even if nobody reads its log: flush must not wait for the stream
+// without a bound.
+func TestFlushIsBounded(t *testing.T) {
+	s := blockedWriter{release: make(chan struct{})}
+	defer close(s.release)
+	log, flush := logs.New(s)
+	log.Info("line")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		flush()
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("flush did not return within 5 s while the stream accepts no data")
+	}
+}
+
 // Lines beyond the rate limit are omitted, and the next line contains their number.
 func TestRateIsLimited(t *testing.T) {
 	var b bytes.Buffer
