Make TestDrainingSidecar independent of stalls of the machine

The queues run the earliest deadline first, so each download started when just its usual duration was left (measured with a trace: 354 ms of work with 356 ms left, least slack before the cut 252 ms in 331 downloads). A sidecar ends a run 250 ms after its deadline. Any stall above 250 ms therefore cut a download, of any sidecar, with the reason "deadline"; the drain had no part in it.

Change: downloads have a deadline of 30 s and arrive at 15 instead of 40 a second, so that they still wait for seconds at all sidecars, but none starts just before its deadline. The check is stricter: no download may be refused or lost either; before, refused downloads were passed over.

--- a/demo/failures_test.go
+++ b/demo/failures_test.go
@@ -95,16 +95,18 @@
 }
 
 // A sidecar drains while requests wait at all sidecars. It hands over its records of requests that ran,
-// so that other sidecars answer repeats of them. No answer is truncated, no outcome is unknown, only
-// downloads are refused, and the sidecar's upstream is idle from 3 s after the drain began.
+// so that other sidecars answer repeats of them. No answer is truncated, no outcome is unknown, no
+// request is refused, and the sidecar's upstream is idle from 3 s after the drain began.
 func TestDrainingSidecar(t *testing.T) {
 	t.Parallel()
 	spec := testSpec(3)
-	// More downloads than the slots can run: requests wait for seconds at all sidecars.
+	// More downloads than the slots can run: requests wait for seconds at all sidecars. The deadline is
+	// longer than any wait, since a download that starts just before it is truncated if it takes longer
+	// than usual.
 	spec.Upstream.Download = 400 * time.Millisecond
 	o := &spec.Services[0].Load
-	o.Rates[load.KindDownload] = 40
-	o.Deadlines = map[load.Kind]time.Duration{load.KindSwap: 5 * time.Second, load.KindShort: 5 * time.Second, load.KindDownload: 8 * time.Second}
+	o.Rates[load.KindDownload] = 15
+	o.Deadlines = map[load.Kind]time.Duration{load.KindSwap: 5 * time.Second, load.KindShort: 5 * time.Second, load.KindDownload: 30 * time.Second}
 	s := newTestSite(t, spec)
 	var ended <-chan error
 	var workSoFar time.Duration
@@ -118,11 +120,8 @@
 		t.Errorf("the leaving upstream worked for %s from 3 s after it began to leave, want none", extraWork)
 	}
 	for kind, c := range result.Counts {
-		if kind == load.KindDownload {
-			c.NotRun = 0 // refused downloads are expected: there are more than can run
-		}
-		if c.Cut+c.Unknown+c.NotRun > 0 {
-			t.Errorf("%s: got %+v, want no cut, unknown or refused requests during a planned stop", kind, *c)
+		if c.Cut+c.Unknown+c.NotRun+c.Lost > 0 {
+			t.Errorf("%s: got %+v, want no cut, unknown, refused or lost requests during a planned stop", kind, *c)
 		}
 	}
 	select {
