Catch SIGHUP before the settings are read

Change: main asks for it before anything else, and the log of sighup-ignored follows once there is a logger. Other commands still end on SIGHUP. What is left is the time until main runs.

The script early-hangup sends SIGHUP while the process reads its settings from a FIFO. It failed before (the process ended by the signal), passes now for both commands.

--- a/cmd/greengagedyke/balancer.go
+++ b/cmd/greengagedyke/balancer.go
@@ -23,6 +23,9 @@
 type balancerCommand struct {
 	Settings string `long:"settings" short:"s" env:"GREENGAGEDYKE_SETTINGS" required:"true" value-name:"FILE" description:"settings file, JSON with comments"`
 	Flows    bool   `long:"flows" description:"serve flows that are identified only by addresses and ports, as the platform's routers forward them"`
+
+	// hangups receives a value at each SIGHUP, if Flows is set.
+	hangups <-chan os.Signal
 }
 
 // Execute implements flags.Commander.
@@ -53,7 +56,7 @@
 	ctx, abort := shutdownContexts()
 	log, flush := logs.New(os.Stdout)
 	defer flush()
-	logHangups(log)
+	logHangups(log, c.hangups)
 	registry := metrics.NewRegistry()
 	if err := serveMetrics(ctx, log, cfg.Metrics, registry); err != nil {
 		return err
--- a/cmd/greengagedyke/main.go
+++ b/cmd/greengagedyke/main.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -21,7 +22,11 @@
 )
 
 func main() {
-	os.Exit(run(os.Args[1:]))
+	var hangups <-chan os.Signal
+	if len(os.Args) > 1 && slices.Contains([]string{"balancer", "sidecar"}, os.Args[1]) && slices.Contains(os.Args, "--flows") {
+		hangups = catchHangups()
+	}
+	os.Exit(run(os.Args[1:], hangups))
 }
 
 // Exit codes.
@@ -33,16 +38,17 @@
 	exitUnknown = 3
 )
 
-// run parses the arguments, executes the subcommand and returns the exit code.
-func run(args []string) int {
+// run parses the arguments, executes the subcommand and returns the exit code. hangups is the channel
+// that catchHangups returned to a process for flows; nil in others.
+func run(args []string, hangups <-chan os.Signal) int {
 	p := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	p.Name = "greengagedyke"
 	for _, c := range []struct {
 		name, short, long string
 		data              any
 	}{
-		{"balancer", balancerShort, balancerUsage, &balancerCommand{}},
-		{"sidecar", sidecarShort, sidecarUsage, &sidecarCommand{}},
+		{"balancer", balancerShort, balancerUsage, &balancerCommand{hangups: hangups}},
+		{"sidecar", sidecarShort, sidecarUsage, &sidecarCommand{hangups: hangups}},
 		{"check", checkShort, checkUsage, &checkCommand{}},
 		{"apply", applyShort, applyUsage, &applyCommand{}},
 		{"evacuate", evacuateShort, evacuateUsage, &evacuateCommand{}},
@@ -106,10 +112,16 @@
 	return ctx, abort
 }
 
-// logHangups logs that SIGHUP does not reload the settings, each time the process receives one.
-func logHangups(log *slog.Logger) {
+// catchHangups returns a channel that receives a value when the process has received a SIGHUP, which
+// no longer ends the process. main calls it first, since a SIGHUP may arrive at any time.
+func catchHangups() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// logHangups logs for each value from hangups that SIGHUP does not reload the settings.
+func logHangups(log *slog.Logger, hangups <-chan os.Signal) {
 	go func() {
 		for range hangups {
 			log.Info("sighup-ignored", "detail", "changed settings take effect at the next start")
