Bound the announcements of a process that stops

Cause: the last announcements of a balancer or sidecar of the QUIC path took no context. Announce made 10 attempts of up to 1 s each, and a second SIGTERM did not end it; the announcer then waited for announcements in flight.

Change: Announce ends after 3 s at most and with the abort context, and the announcements in flight at the end of the announcer are cancelled.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -158,7 +158,7 @@
 	b.node.UpdateSelf(func(r *member.Record) { r.State = member.StateLeaving })
 	daemon.Sleep(abort, drainTime)
 	b.node.UpdateSelf(func(r *member.Record) { r.State = member.StateGone })
-	b.announcer.Announce()
+	b.announcer.Announce(abort)
 }
 
 // serveAPI serves the resource API until ctx ends.
--- a/control/announcer.go
+++ b/control/announcer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"greengagedyke/daemon"
 	"greengagedyke/member"
 	"greengagedyke/service"
 	"greengagedyke/session"
@@ -107,7 +108,7 @@
 	defer t.Stop()
 	var wg sync.WaitGroup
 	for {
-		a.announceDue(&wg)
+		a.announceDue(ctx, &wg)
 		select {
 		case <-ctx.Done():
 			wg.Wait()
@@ -118,20 +119,22 @@
 	}
 }
 
-// announceTries bounds the attempts of Announce, which are a tick apart.
-const announceTries = 10
+// confirmTimeout bounds Announce.
+const confirmTimeout = 3 * time.Second
 
 // Announce announces the current state and returns when each target has confirmed it or could not
-// be reached, or after announceTries attempts.
-func (a *Announcer) Announce() {
-	for range announceTries {
+// be reached, when ctx ends, or after confirmTimeout.
+func (a *Announcer) Announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
 		var wg sync.WaitGroup
-		a.announceDue(&wg)
+		a.announceDue(ctx, &wg)
 		wg.Wait()
 		if a.isConfirmed(a.node.stateVersion()) {
 			return
 		}
-		time.Sleep(tick)
+		daemon.Sleep(ctx, tick)
 	}
 }
 
@@ -148,8 +151,9 @@
 	return true
 }
 
-// announceDue updates the peers and starts an announcement to each peer for which one is due.
-func (a *Announcer) announceDue(wg *sync.WaitGroup) {
+// announceDue updates the peers and starts an announcement to each peer for which one is due. The
+// announcements fail when ctx ends.
+func (a *Announcer) announceDue(ctx context.Context, wg *sync.WaitGroup) {
 	a.updatePeers()
 	current := a.node.stateVersion()
 	a.mu.Lock()
@@ -161,7 +165,7 @@
 		}
 		p.inFlight = true
 		p.lastAnnounced = time.Now()
-		wg.Go(func() { a.announce(addr, p, current) })
+		wg.Go(func() { a.announce(ctx, addr, p, current) })
 	}
 }
 
@@ -284,8 +288,8 @@
 }
 
 // announce sends one announcement to p and processes the answer.
-func (a *Announcer) announce(addr netip.AddrPort, p *peer, current stateVersion) {
-	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+func (a *Announcer) announce(ctx context.Context, addr netip.AddrPort, p *peer, current stateVersion) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	var c Confirmation
 	announcement := a.node.announcement(p)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -354,7 +354,7 @@
 	s.log.Info("sidecar-leaving")
 	s.leaving.Store(true)
 	s.node.UpdateSelf(func(r *member.Record) { r.State = member.StateLeaving })
-	s.announcer.Announce()
+	s.announcer.Announce(abort)
 	s.slots.SetLeaving()
 	select {
 	case <-time.After(leaveNoticeDelay):
@@ -370,7 +370,7 @@
 		return nil
 	}
 	s.node.UpdateSelf(func(r *member.Record) { r.State = member.StateGone })
-	s.announcer.Announce()
+	s.announcer.Announce(abort)
 	s.log.Info("sidecar-ended")
 	return nil
 }
