Dump the goroutines of a process whose planned stop is overdue in a soak

Change: SIGQUIT first, so that its goroutines are in its log, and SIGKILL if it has not ended 2 s later. The stop is reported as before.

TestOverdueStopIsExplained failed before, passes now.

--- a/soak/process.go
+++ b/soak/process.go
@@ -15,6 +15,9 @@
 	restartDelay = 200 * time.Millisecond
 	// stopGrace is how long a process may take to exit after SIGTERM.
 	stopGrace = 6 * time.Second
+	// dumpGrace is how long a process that exceeded stopGrace may take to write its goroutines to its
+	// log after SIGQUIT.
+	dumpGrace = 2 * time.Second
 )
 
 // process is a balancer or sidecar that runs as an operating-system process and can be restarted.
@@ -124,17 +127,21 @@
 	return p.start()
 }
 
-// terminate sends SIGTERM and waits for the exit. It kills the process and returns an error if
-// the exit takes longer than stopGrace.
+// terminate sends SIGTERM and waits for the exit. If the exit takes longer than stopGrace, it returns
+// an error, after it has made the process write its goroutines to its log and has killed it.
 func (p *process) terminate() error {
 	exited := p.signal(syscall.SIGTERM, true)
 	select {
 	case <-exited:
 		return nil
 	case <-time.After(stopGrace):
+	}
+	select {
+	case <-p.signal(syscall.SIGQUIT, true):
+	case <-time.After(dumpGrace):
 		<-p.signal(syscall.SIGKILL, true)
-		return errors.Errorf("soak: %v did not exit within %v", p.args, stopGrace)
 	}
+	return errors.Errorf("soak: %v did not exit within %v", p.args, stopGrace)
 }
 
 // pause suspends the process for the duration d.
