Bound sending on a session

Cause: a message larger than the window of a stream (256 KiB) waits until the peer reads. The wait ended neither with the context of the call nor with a session that had stopped passing data, since a session is pinged only while a call waits for an answer. A planned stop of the QUIC path could wait for ever in the handover of key records (a sidecar) or in the last announcement (a balancer or sidecar).

Change: sending counts as waiting, so that the session is pinged, and requests are sent with the context of their call.

TestSendEndsWithContext and TestSilentSessionEndsSend did not end before (3 and 10 s), both pass now. Passed: session, control, sibling, sidecar, balancer, demo, once each.

--- a/control/announcer.go
+++ b/control/announcer.go
@@ -324,7 +324,7 @@
 		}
 		p.stream = s
 	}
-	err := p.stream.Send(call)
+	err := p.stream.SendContext(ctx, call)
 	if err == nil {
 		err = p.stream.Receive(ctx, c)
 	}
--- a/session/session.go
+++ b/session/session.go
@@ -24,8 +24,8 @@
 	dialTimeout = time.Second
 	// pingTimeout is how long a session may take to answer a ping or to accept a write.
 	pingTimeout = 700 * time.Millisecond
-	// pingAfter is the time without received data after which a session is pinged if calls on it wait
-	// for an answer. It is also the interval at which this is checked.
+	// pingAfter is the time without received data after which a session is pinged if calls on it send
+	// or wait for an answer. It is also the interval at which this is checked.
 	pingAfter = 400 * time.Millisecond
 	// readBuffer is the size in bytes of the read buffer of a stream.
 	readBuffer = 512
@@ -58,7 +58,7 @@
 	r    *bufio.Reader
 	// mux is the session that the stream belongs to.
 	mux *yamux.Session
-	// waiting counts the calls on the session that wait for an answer; nil at the server.
+	// waiting counts the calls on the session that send or wait for an answer; nil at the server.
 	waiting *atomic.Int64
 }
 
@@ -66,8 +66,20 @@
 	return &Stream{conn: conn, r: bufio.NewReaderSize(conn, readBuffer), mux: mux, waiting: waiting}
 }
 
-// Send writes one message. Its error wraps ErrLost.
+// SendContext is Send, which it ends when ctx ends. The stream can then only be closed.
+func (s *Stream) SendContext(ctx context.Context, m proto.Message) error {
+	stop := context.AfterFunc(ctx, func() { s.conn.SetWriteDeadline(time.Unix(1, 0)) })
+	defer stop()
+	return s.Send(m)
+}
+
+// Send writes one message. Its error wraps ErrLost. It may have to wait until the peer has read
+// earlier data.
 func (s *Stream) Send(m proto.Message) error {
+	if s.waiting != nil {
+		s.waiting.Add(1)
+		defer s.waiting.Add(-1)
+	}
 	if _, err := protodelim.MarshalTo(s.conn, m); err != nil {
 		return errors.WithMessage(ErrLost, err.Error())
 	}
@@ -106,7 +118,7 @@
 type muxConn struct {
 	net.Conn
 	lastRead atomic.Int64 // Unix time in nanoseconds
-	// waiting is the number of calls that wait for an answer.
+	// waiting is the number of calls that send or wait for an answer.
 	waiting atomic.Int64
 	// header is the frame header that is written with the next body, if headerPending is set.
 	header        [frameHeaderLen]byte
@@ -149,7 +161,7 @@
 	return n, err
 }
 
-// pingWhenSilent pings the session mux whenever calls wait for answers and nothing was received on
+// pingWhenSilent pings the session mux whenever calls send or wait for answers and nothing was received on
 // conn for pingAfter. It closes a session that does not answer, which ends all its calls: an open
 // connection can stop passing data for good while new ones work.
 func pingWhenSilent(conn *muxConn, mux *yamux.Session) {
@@ -327,7 +339,7 @@
 		return err
 	}
 	defer s.Close()
-	if err := s.Send(request); err != nil {
+	if err := s.SendContext(ctx, request); err != nil {
 		return err
 	}
 	return s.Receive(ctx, answer)
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -103,6 +104,60 @@
 	}
 }
 
+// largeCall sends a message that exceeds the window of a stream, and returns the error of the call, or
+// fails the test if the call does not end within limit.
+func largeCall(t *testing.T, client *Client, timeout, limit time.Duration) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		ended <- client.Call(ctx, wrapperspb.String(strings.Repeat("x", 1<<20)), &wrapperspb.StringValue{})
+	}()
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(limit):
+		t.Fatalf("the call did not end within %s", limit)
+		return nil
+	}
+}
+
+// A peer answers pings, but its handler does not read the message: the call ends with its context.
+func TestSendEndsWithContext(t *testing.T) {
+	c := credentials(t, systemSecret)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go Serve(t.Context(), slog.New(slog.DiscardHandler), ln, c, func(ctx context.Context, _ *Stream) { <-ctx.Done() })
+	client, closeClient := NewClient(ln.Addr().(*net.TCPAddr).AddrPort(), c)
+	defer closeClient()
+	if err := largeCall(t, client, 300*time.Millisecond, 3*time.Second); !errors.Is(err, ErrLost) {
+		t.Errorf("got %v, want ErrLost", err)
+	}
+}
+
+// A session stops passing data while a message is sent: it is closed, as while a call waits for its
+// answer.
+func TestSilentSessionEndsSend(t *testing.T) {
+	c := credentials(t, systemSecret)
+	tcpProxy, addr, stop, err := proxy.TCP(netip.MustParseAddrPort("127.0.0.1:0"), startEchoServer(t, c))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	client, closeClient := NewClient(addr, c)
+	defer closeClient()
+	if err := call(t, client); err != nil {
+		t.Fatal(err)
+	}
+	tcpProxy.Silence()
+	if err := largeCall(t, client, time.Minute, 10*time.Second); !errors.Is(err, ErrLost) {
+		t.Errorf("got %v, want ErrLost", err)
+	}
+}
+
 func TestUnreachablePeer(t *testing.T) {
 	client, closeClient := NewClient(netip.MustParseAddrPort("127.0.0.1:1"), credentials(t, systemSecret))
 	defer closeClient()
--- a/sibling/client.go
+++ b/sibling/client.go
@@ -66,7 +66,7 @@
 		Target:      r.Target,
 		Route:       r.RouteName(),
 	}
-	if err := s.Send(&Call{Offer: offer}); err != nil {
+	if err := s.SendContext(ctx, &Call{Offer: offer}); err != nil {
 		s.Close()
 		return nil, errors.WithMessage(ErrLost, err.Error())
 	}
@@ -115,7 +115,7 @@
 func (o *PendingOffer) Run(ctx context.Context, r *work.Request, sink work.ResponseSink) (outcome work.Outcome, lost bool) {
 	defer o.stream.Close()
 	start := &Start{Headers: encodeFields(r.Fields), Body: r.Body}
-	if err := o.stream.Send(start); err != nil {
+	if err := o.stream.SendContext(ctx, start); err != nil {
 		return work.Unknown(work.ReasonAnswerLost), true
 	}
 	begun := false
