--- a/control/announce_test.go
+++ b/control/announce_test.go
@@ -25,7 +25,7 @@
 }
 
 // returnsWithin fails the test unless a.Announce returns within limit.
-func returnsWithin(t *testing.T, ctx context.Context, a *Announcer, limit time.Duration) {
+func returnsWithin(ctx context.Context, t *testing.T, a *Announcer, limit time.Duration) {
 	t.Helper()
 	started := time.Now()
 	a.Announce(ctx)
@@ -55,7 +55,7 @@
 			}
 		}
 	})
-	returnsWithin(t, t.Context(), a, 4*time.Second)
+	returnsWithin(t.Context(), t, a, 4*time.Second)
 }
 
 // A process is aborted while it waits for a balancer that accepts connections and never answers.
@@ -72,5 +72,5 @@
 	defer ln.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	returnsWithin(t, ctx, newStoppingSidecar(t, ln, c), 500*time.Millisecond)
+	returnsWithin(ctx, t, newStoppingSidecar(t, ln, c), 500*time.Millisecond)
 }
