soak: evacuations, bursts, warming and uneven upstreams

The soak did not know the operator's evacuations, the warm-up rate or overload, so nothing ran them through restarts and outages of the store.

The plan now evacuates failure domains and takes that back, and lets callers come faster for some seconds; upstreams need 20 or 40 ms for a request and warm up for 4 s after their start. Checked: no new flow in an evacuated domain, no more opening packets a second than the warm-up rate allows, and no upstream gets an opening packet that was refused. The faults of a seed are as before; the new ones have generators of their own.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"greengagedyke/flow"
 	"greengagedyke/standin/flowtest"
 )
 
@@ -20,6 +21,8 @@
 	// swapInterval is the time between two requests of kindSwap. Requests of kindSheet are half as
 	// frequent.
 	swapInterval = 40 * time.Millisecond
+	// burstInterval is the time between two requests of a burst.
+	burstInterval = 6 * time.Millisecond
 	// moveInterval is the time between two requests to movingAddr.
 	moveInterval = 100 * time.Millisecond
 	// requestTimeout is how long a caller waits for an answer.
@@ -32,6 +35,11 @@
 	// leavingUpstreamLimit is how long an upstream may still get new flows after its heartbeat
 	// with the state leaving was acknowledged.
 	leavingUpstreamLimit = 3 * time.Second
+	// evacuationLimit is how long an upstream may still get new flows after the evacuation of its failure
+	// domain was acknowledged, and after the end of a fault of the store within that time.
+	evacuationLimit = 5 * time.Second
+	// warmupLimit is the largest number of opening packets that a warming upstream may get in a second.
+	warmupLimit = warmupRate*3/2 + 5
 )
 
 // workload generates the callers' requests and checks their results.
@@ -46,6 +54,12 @@
 	// moveRequests are the answered requests to movingAddr of which it is certain which incarnation
 	// of which balancer routed them.
 	moveRequests []moveRequest
+	// openedVia is by flow the address of the balancer that got the opening packets, if it was only one.
+	openedVia map[flow.Key]netip.AddrPort
+	// refused holds for each flow that was refused how many opening packets its caller had sent.
+	refused map[flow.Key]int
+	// bursts are the goroutines of the bursts.
+	bursts sync.WaitGroup
 }
 
 // The kinds of requests. A request is named KIND-NUMBER, and its content is its name.
@@ -135,6 +149,7 @@
 // ctx is done.
 func (l *workload) openFlow(ctx context.Context, addr netip.AddrPort) *flowtest.Flow {
 	f, err := l.site.callers.Open(ctx, addr)
+	l.recordOpening(f)
 	if err != nil {
 		if ctx.Err() == nil {
 			l.site.recorder.countOutcome(outcomeNotRun)
@@ -144,6 +159,32 @@
 	return f
 }
 
+// recordOpening records via which balancer f was opened, and whether it was refused.
+func (l *workload) recordOpening(f *flowtest.Flow) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n := f.RefusedAfter(); n > 0 {
+		l.refused[f.Key()] = n
+	}
+	if via, single := f.OpenedVia(); single {
+		l.openedVia[f.Key()] = via
+	}
+}
+
+// startBurst makes callers send many requests of kindSwap or kindSheet on new flows to addr for the
+// duration d.
+func (l *workload) startBurst(ctx context.Context, addr netip.AddrPort, d time.Duration) {
+	kind := kindSwap
+	if addr == sheetAddr {
+		kind = kindSheet
+	}
+	l.bursts.Go(func() {
+		burstCtx, cancel := context.WithTimeout(ctx, d)
+		defer cancel()
+		l.callEvery(burstCtx, burstInterval, func() { l.sendOnNewFlow(ctx, addr, kind) })
+	})
+}
+
 // sendRequest sends a request on f, counts its outcome, and reports whether f can be used again. It
 // counts no outcome if ctx is done before the answer arrives.
 func (l *workload) sendRequest(ctx context.Context, f *flowtest.Flow, kind string) bool {
--- a/soak/check.go
+++ b/soak/check.go
@@ -4,6 +4,9 @@
 	"slices"
 	"strings"
 	"time"
+
+	"greengagedyke/flow"
+	"greengagedyke/standin/flowtest"
 )
 
 // runRecord describes where and how often a request ran.
@@ -26,6 +29,11 @@
 	}
 	l.checkRuns(runs)
 	l.checkLeavingUpstreams()
+	for _, p := range l.site.sidecars {
+		for _, u := range p.upstreams() {
+			l.checkOpenings(p, u.Openings(), u.Holds)
+		}
+	}
 	l.checkInForce(runs, faultsEndedAt)
 	l.checkNeverBack(runs)
 	l.checkRecovered(faultsEndedAt)
@@ -59,6 +67,35 @@
 	}
 }
 
+// checkOpenings checks the opening packets that an upstream of p got. The upstream still holds the flows
+// for which holds returns true.
+func (l *workload) checkOpenings(p *sidecarProcess, openings []flowtest.Opening, holds func(flow.Key) bool) {
+	r := l.site.recorder
+	for i, o := range openings {
+		if n := l.refused[o.Key]; n == 1 || n > 1 && holds(o.Key) {
+			r.addViolation("refusal", "%v was refused after %d opening packets, but upstream %v got one at %v", o.Key, n, p.upstreamAddr.Addr(), r.since(o.At))
+		}
+		if i >= warmupLimit && o.WarmingUp && o.At.Sub(openings[i-warmupLimit].At) < time.Second {
+			r.addViolation("warm-up-rate", "upstream %v got more than %d opening packets in the second before %v", p.upstreamAddr.Addr(), warmupLimit, r.since(o.At))
+		}
+		if o.New && l.site.evacuated(p.failureDomain, o.At) && !l.interruptedBefore(p, &o) {
+			r.addViolation("evacuation", "%v was opened in %s at %v, at upstream %v", o.Key, p.failureDomain, r.since(o.At), p.upstreamAddr.Addr())
+		}
+	}
+}
+
+// interruptedBefore reports whether all processes that brought an opening packet to the upstream of p
+// were interrupted within evacuationLimit before.
+func (l *workload) interruptedBefore(p *sidecarProcess, o *flowtest.Opening) bool {
+	via, single := l.openedVia[o.Key]
+	for _, b := range l.site.balancers {
+		if (!single || via == b.callerPathAddr) && !b.interruptedBetween(o.At.Add(-evacuationLimit), o.At) {
+			return false
+		}
+	}
+	return p.interruptedBetween(o.At.Add(-evacuationLimit), o.At)
+}
+
 // checkInForce checks the requests to movingAddr that were sent more than inForceLimit after the
 // newest configuration was written and after the last fault ended: they must have run at the service
 // that this configuration names.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -89,6 +89,15 @@
 		return s.moveRoute()
 	case StoreRestored:
 		return s.restoreStore(f)
+	case DomainEvacuated:
+		return s.evacuate(f)
+	case CallersBurst:
+		addr := swapAddr
+		if f.Target%2 == 0 {
+			addr = sheetAddr
+		}
+		s.onBurst(addr, f.Duration)
+		time.Sleep(f.Duration)
 	default:
 		s.applyToPath(f, b)
 		s.applyToStore(f)
@@ -153,6 +162,7 @@
 	default:
 		return
 	}
+	defer s.recordStoreFault(time.Now())
 	s.store.SetFaults(faults)
 	time.Sleep(f.Duration)
 	s.store.SetFaults(store.Faults{})
@@ -232,9 +242,10 @@
 }
 
 // restoreStore takes the store down, brings it back from an older copy, and writes the newest
-// configuration again. While the store is still down, others write values, how many depends on f.Target,
+// configuration and evacuations again. While the store is still down, others write values, how many depends on f.Target,
 // so that the store's revision may pass the lost ones before the processes call it again.
 func (s *site) restoreStore(f *Fault) error {
+	defer s.recordStoreFault(time.Now())
 	s.store.SetFaults(store.Faults{Down: true})
 	time.Sleep(f.Duration)
 	s.configureMu.Lock()
@@ -247,6 +258,9 @@
 	}
 	s.store.SetFaults(store.Faults{})
 	time.Sleep(rewriteDelay)
+	if err := s.rewriteEvacuations(); err != nil {
+		return err
+	}
 	newest := s.newestConfiguration()
 	return s.writeConfiguration(newest.version, newest.movingService)
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -52,6 +52,14 @@
 	meanRestoreInterval = 6 * time.Second
 	// maxRestoreDuration is the longest time that the store is down before it is restored.
 	maxRestoreDuration = 2 * time.Second
+	// meanEvacuationInterval is the mean time between the starts of two DomainEvacuated faults.
+	meanEvacuationInterval = 4 * time.Second
+	// minEvacuationTime and maxEvacuationTime bound the time until an evacuation is taken back.
+	minEvacuationTime, maxEvacuationTime = time.Second, 16 * time.Second
+	// meanBurstInterval is the mean time between the starts of two CallersBurst faults.
+	meanBurstInterval = 5 * time.Second
+	// minBurstTime and maxBurstTime bound the duration of a burst.
+	minBurstTime, maxBurstTime = time.Second, 4 * time.Second
 )
 
 // Defaults sets Duration, Balancers, Sidecars and Boards to their defaults where they are zero.
@@ -110,11 +118,13 @@
 	PathCut            FaultKind = "callers-path-cut"          // no packets pass between callers and one balancer
 	StoreRestored      FaultKind = "store-restored"            // the store is down, and comes back from an older copy
 	RouteChanged       FaultKind = "route-changed"             // movingAddr is routed to the other service
+	DomainEvacuated    FaultKind = "domain-evacuated"          // the operator evacuates a failure domain, and takes that back
+	CallersBurst       FaultKind = "callers-burst"             // many more callers open flows to one service
 	PowerLost          FaultKind = "power-lost"                // all processes and upstreams are killed at the same time
 )
 
 // faultWeights are the relative frequencies of the kinds in a plan. PowerLost is missing because
-// it is never drawn: Options.PowerLoss adds it. restorations adds StoreRestored.
+// it is never drawn: Options.PowerLoss adds it. restorations and operations add others.
 var faultWeights = []struct {
 	kind   FaultKind
 	weight int
@@ -175,6 +185,7 @@
 		plan = append(plan, f)
 	}
 	plan = append(plan, restorations(o, end)...)
+	plan = append(plan, operations(o, end)...)
 	if o.PowerLoss {
 		at := end - faultDurationRange/2
 		plan = append(plan,
@@ -186,14 +197,34 @@
 	return plan
 }
 
-// restorations returns the StoreRestored faults of a plan whose faults end at end. They have a generator
-// of their own, so that a seed has the same other faults as before this kind was added.
+// restorations returns the StoreRestored faults of a plan whose faults end at end.
 func restorations(o *Options, end time.Duration) []Fault {
-	r := rand.New(rand.NewPCG(o.Seed, 1))
+	return recurring(o, StoreRestored, 1, meanRestoreInterval, end-maxRestoreDuration, func(r *rand.Rand) time.Duration {
+		return time.Duration(r.Int64N(int64(maxRestoreDuration - rewriteDelay)))
+	})
+}
+
+// operations returns the DomainEvacuated and CallersBurst faults of a plan whose faults end at end.
+func operations(o *Options, end time.Duration) []Fault {
+	between := func(low, high time.Duration) func(*rand.Rand) time.Duration {
+		return func(r *rand.Rand) time.Duration { return low + time.Duration(r.Int64N(int64(high-low))) }
+	}
+	plan := recurring(o, DomainEvacuated, 2, meanEvacuationInterval, end, between(minEvacuationTime, maxEvacuationTime))
+	plan = append(plan, recurring(o, CallersBurst, 3, meanBurstInterval, end, between(minBurstTime, maxBurstTime))...)
+	for i := range plan {
+		plan[i].Duration = min(plan[i].Duration, end-plan[i].At)
+	}
+	return plan
+}
+
+// recurring returns faults of one kind that start before end. They have a generator of their own, so that
+// a seed has the same other faults as before this kind was added.
+func recurring(o *Options, kind FaultKind, generator uint64, meanInterval, end time.Duration, duration func(*rand.Rand) time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(o.Seed, generator))
 	var plan []Fault
-	next := func() time.Duration { return time.Duration(r.ExpFloat64() * float64(meanRestoreInterval)) }
-	for at := warmupTime + next(); at < end-maxRestoreDuration; at += next() {
-		plan = append(plan, Fault{At: at, Kind: StoreRestored, Target: r.IntN(1 << 16), Duration: time.Duration(r.Int64N(int64(maxRestoreDuration - rewriteDelay)))})
+	next := func() time.Duration { return time.Duration(r.ExpFloat64() * float64(meanInterval)) }
+	for at := warmupTime + next(); at < end; at += next() {
+		plan = append(plan, Fault{At: at, Kind: kind, Target: r.IntN(1 << 16), Duration: duration(r)})
 	}
 	return plan
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/exec"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -36,6 +37,8 @@
 	starts int
 	// disturbedAt is when the process was last killed, restarted after a kill, paused or resumed.
 	disturbedAt time.Time
+	// interruptions are the times when the process was started, killed, paused or resumed.
+	interruptions []time.Time
 	// exitRequested is true once SIGTERM or SIGKILL is being sent to the current incarnation.
 	exitRequested bool
 	// onUnexpectedExit is called when an incarnation exits although exitRequested is not set.
@@ -58,6 +61,7 @@
 	exited := make(chan struct{})
 	p.cmd, p.exited, p.exitRequested = cmd, exited, false
 	p.starts++
+	p.interruptions = append(p.interruptions, time.Now())
 	go func() {
 		err := cmd.Wait()
 		p.mu.Lock()
@@ -85,11 +89,19 @@
 	return p.disturbedAt.Before(t)
 }
 
+// interruptedBetween reports whether the process was interrupted in that time.
+func (p *process) interruptedBetween(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.interruptions, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+}
+
 // markDisturbed sets disturbedAt to the current time.
 func (p *process) markDisturbed() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.disturbedAt = time.Now()
+	p.interruptions = append(p.interruptions, p.disturbedAt)
 }
 
 // signal sends s to the current incarnation and returns the channel that is closed when the
--- a/soak/record.go
+++ b/soak/record.go
@@ -41,6 +41,9 @@
 	resets int
 }
 
+// since returns the time from the start of the run to t.
+func (r *recorder) since(t time.Time) time.Duration { return t.Sub(r.startedAt) }
+
 // addViolation records a violation of the named promise. Format and args form its detail.
 func (r *recorder) addViolation(promise, format string, args ...any) {
 	r.mu.Lock()
--- a/soak/report.go
+++ b/soak/report.go
@@ -19,8 +19,8 @@
 		total.NotRun += s.NotRun
 		total.Unknown += s.Unknown
 	}
-	_, err := fmt.Fprintf(w, "seed %d: %d processes, %v, %d faults, %d answered, %d not run, %d unknown, %d resets, %d violations\n",
-		r.Seed, r.Processes, r.Duration, len(r.Plan), total.Answered, total.NotRun, total.Unknown, r.Resets, len(r.Violations))
+	_, err := fmt.Fprintf(w, "seed %d: %d processes, %v, %d faults, %d answered, %d not run, %d unknown, %d resets, %d refused, %d violations\n",
+		r.Seed, r.Processes, r.Duration, len(r.Plan), total.Answered, total.NotRun, total.Unknown, r.Resets, r.Refused, len(r.Violations))
 	for _, v := range r.Violations {
 		if err == nil {
 			_, err = fmt.Fprintf(w, "  %8.3f s  %s: %s\n", v.At.Seconds(), v.Promise, v.Detail)
--- a/soak/site.go
+++ b/soak/site.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,8 +44,20 @@
 	minUpstreamsPerService = 2
 	// failureDomainCount is the number of failure domains that the processes are spread over.
 	failureDomainCount = 3
+
+	// requestWork is how long a request occupies a slot of most upstreams, slowRequestWork one of each
+	// slowUpstreamInterval-th.
+	requestWork, slowRequestWork = 20 * time.Millisecond, 40 * time.Millisecond
+	slowUpstreamInterval         = 4
+	// upstreamWarmup is how long each upstream warms up after its start.
+	upstreamWarmup = 4 * time.Second
+	// warmupRate is the number of new flows a second that a warming upstream takes.
+	warmupRate = 8
 )
 
+// domainName returns the failure domain of the balancer or sidecar with index i.
+func domainName(i int) string { return fmt.Sprintf("domain-%d", i%failureDomainCount) }
+
 // The addresses that callers open flows to. boardAddr and swapAddr belong to coreService,
 // sheetAddr to sheetService. The service of movingAddr changes with the configuration.
 var (
@@ -70,8 +83,11 @@
 // sidecarProcess is a sidecar with its upstream and the proxies on its network paths.
 type sidecarProcess struct {
 	*process
-	// service is the service of the upstream.
+	// service is the service of the upstream, pace how fast it works.
 	service string
+	pace    flowtest.Pace
+	// failureDomain is where the sidecar and its upstream run.
+	failureDomain string
 	// storePath forwards connections from the sidecar to the store.
 	storePath *proxy.Proxy
 	// heartbeatPath forwards heartbeats, which the upstream sends to heartbeatAddr, to the sidecar.
@@ -89,6 +105,8 @@
 	upstream *flowtest.Upstream
 	// closeUpstream stops upstream.
 	closeUpstream func()
+	// endedUpstreams are those that were replaced.
+	endedUpstreams []*flowtest.Upstream
 	// upstreamStarts counts the upstreams that were started at upstreamAddr.
 	upstreamStarts int
 }
@@ -109,11 +127,15 @@
 	recorder *recorder
 
 	mu sync.Mutex
-	// endedUpstreams are the upstreams that were replaced.
-	endedUpstreams []*flowtest.Upstream
+	// evacuations are those that the store has acknowledged, oldest first.
+	evacuations []evacuation
+	// storeFaults are the times of the store's faults that have ended.
+	storeFaults []span
+	// onBurst makes callers open more flows to an address for a time.
+	onBurst func(addr netip.AddrPort, d time.Duration)
 	// configurations are the configurations that the store has acknowledged, oldest first.
 	configurations []configuration
-	// configureMu is held while moveRoute reads the newest configuration and writes the next.
+	// configureMu is held while the operator writes.
 	configureMu sync.Mutex
 }
 
@@ -206,7 +228,7 @@
 	}
 	cfg := &balancer.FlowSettings{
 		Identity:      fmt.Sprintf("balancer-%d", i),
-		FailureDomain: fmt.Sprintf("domain-%d", i%failureDomainCount),
+		FailureDomain: domainName(i),
 		Packets:       s.block.Addr(balancerSubnet, i+1, packetsPort),
 		Ready:         s.block.Addr(balancerSubnet, i+1, readyPort),
 		Tunnel:        s.block.Addr(balancerSubnet, i+1, tunnelPort),
@@ -239,17 +261,22 @@
 		return nil, err
 	}
 	p := &sidecarProcess{
-		service:      coreService,
-		storePath:    storePath,
-		upstreamAddr: s.block.Addr(sidecarSubnet, i+1, upstreamPort),
-		outboundAddr: s.block.Addr(sidecarSubnet, i+1, outboundPort),
+		service:       coreService,
+		pace:          flowtest.Pace{Work: requestWork, Warmup: upstreamWarmup},
+		failureDomain: domainName(i),
+		storePath:     storePath,
+		upstreamAddr:  s.block.Addr(sidecarSubnet, i+1, upstreamPort),
+		outboundAddr:  s.block.Addr(sidecarSubnet, i+1, outboundPort),
+	}
+	if i%slowUpstreamInterval == 0 {
+		p.pace.Work = slowRequestWork
 	}
 	if i < max(minUpstreamsPerService, s.opts.Sidecars/3) {
 		p.service = sheetService
 	}
 	cfg := &sidecar.FlowSettings{
 		Identity:      fmt.Sprintf("sidecar-%d", i),
-		FailureDomain: fmt.Sprintf("domain-%d", i%failureDomainCount),
+		FailureDomain: p.failureDomain,
 		Service:       p.service,
 		Tunnel:        s.block.Addr(sidecarSubnet, i+1, packetsPort),
 		Outbound:      p.outboundAddr,
@@ -328,7 +355,7 @@
 	defer p.mu.Unlock()
 	p.upstreamStarts++
 	id := fmt.Sprintf("%s-%d", p.upstreamAddr.Addr(), p.upstreamStarts)
-	u, stop, err := flowtest.StartUpstream(p.service, id, time.Now(), p.upstreamAddr, p.outboundAddr, p.heartbeatAddr)
+	u, stop, err := flowtest.StartUpstream(p.service, id, time.Now(), p.upstreamAddr, p.outboundAddr, p.heartbeatAddr, p.pace)
 	if err != nil {
 		return err
 	}
@@ -354,23 +381,28 @@
 func (s *site) replaceUpstream(p *sidecarProcess) error {
 	u := p.currentUpstream()
 	p.stopUpstream()
-	s.mu.Lock()
-	s.endedUpstreams = append(s.endedUpstreams, u)
-	s.mu.Unlock()
+	p.mu.Lock()
+	p.endedUpstreams = append(p.endedUpstreams, u)
+	p.mu.Unlock()
 	return p.startUpstream()
 }
 
 // upstreams returns all upstreams of the run, including those that were replaced.
 func (s *site) upstreams() []*flowtest.Upstream {
-	s.mu.Lock()
-	list := append([]*flowtest.Upstream(nil), s.endedUpstreams...)
-	s.mu.Unlock()
+	var list []*flowtest.Upstream
 	for _, p := range s.sidecars {
-		list = append(list, p.currentUpstream())
+		list = append(list, p.upstreams()...)
 	}
 	return list
 }
 
+// upstreams returns all upstreams of the sidecar, including those that were replaced.
+func (p *sidecarProcess) upstreams() []*flowtest.Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append(slices.Clone(p.endedUpstreams), p.upstream)
+}
+
 // configure writes an operator configuration to the store and adds it to configurations.
 func (s *site) configure(version int, movingService string) error {
 	begunAt := time.Now()
@@ -386,10 +418,10 @@
 // writeConfiguration writes an operator configuration directly into the store, without the network.
 func (s *site) writeConfiguration(version int, movingService string) error {
 	_, _, err := s.store.Write(platform.Transaction{Puts: []platform.Put{platform.EncodeOperatorConfiguration(version,
-		platform.ServiceRoute{Addr: boardAddr, Service: coreService},
-		platform.ServiceRoute{Addr: swapAddr, Service: coreService},
-		platform.ServiceRoute{Addr: sheetAddr, Service: sheetService},
-		platform.ServiceRoute{Addr: movingAddr, Service: movingService},
+		platform.ServiceRoute{Addr: boardAddr, Service: coreService, WarmupRate: warmupRate},
+		platform.ServiceRoute{Addr: swapAddr, Service: coreService, WarmupRate: warmupRate},
+		platform.ServiceRoute{Addr: sheetAddr, Service: sheetService, WarmupRate: warmupRate},
+		platform.ServiceRoute{Addr: movingAddr, Service: movingService, WarmupRate: warmupRate},
 	)}})
 	return errors.Wrapf(err, "soak: write of configuration version %d", version)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"greengagedyke/flow"
 )
 
 // Report is the result of a soak run. It is saved as report.json.
@@ -18,6 +21,8 @@
 	Seconds    []SecondCounts `json:"seconds"`
 	// Resets is the number of opened flows, except those to movingAddr, that were reset.
 	Resets int `json:"resets"`
+	// Refused is the number of flows that were refused at an opening packet.
+	Refused int `json:"refused"`
 }
 
 const (
@@ -41,7 +46,7 @@
 	if err != nil {
 		return nil, errors.WithMessage(err, "soak.Run")
 	}
-	l := &workload{site: s, sentRequests: map[string]bool{}}
+	l := &workload{site: s, sentRequests: map[string]bool{}, openedVia: map[flow.Key]netip.AddrPort{}, refused: map[flow.Key]int{}}
 	plan := NewPlan(o)
 	err = l.runPlan(ctx, plan)
 	s.close()
@@ -50,7 +55,7 @@
 	}
 	return &Report{
 		Seed: o.Seed, Duration: o.Duration, Processes: o.Balancers + o.Sidecars,
-		Violations: r.violations, Plan: plan, Seconds: r.seconds, Resets: r.resets,
+		Violations: r.violations, Plan: plan, Seconds: r.seconds, Resets: r.resets, Refused: len(l.refused),
 	}, nil
 }
 
@@ -63,13 +68,16 @@
 	l.site.recorder.startedAt = time.Now()
 	servingCtx, stopServing := context.WithTimeout(ctx, l.site.opts.Duration)
 	defer stopServing()
+	l.site.onBurst = func(addr netip.AddrPort, d time.Duration) { l.startBurst(servingCtx, addr, d) }
 	faultsEnded := make(chan time.Time, 1)
 	go func() {
 		l.site.runFaults(servingCtx, plan, l.site.recorder.startedAt)
 		faultsEnded <- time.Now()
 	}()
 	l.serveCallers(servingCtx)
-	l.checkPromises(<-faultsEnded)
+	faultsEndedAt := <-faultsEnded
+	l.bursts.Wait()
+	l.checkPromises(faultsEndedAt)
 	return ctx.Err()
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,6 +8,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"greengagedyke/flow"
+	"greengagedyke/standin/flowtest"
 )
 
 // The seed and duration of the soak in TestSoak. Longer soaks are run with the standins command.
@@ -126,3 +129,54 @@
 		})
 	}
 }
+
+// The check of opening packets finds a refused flow that an upstream got, a warming upstream that gets
+// too many, and a flow that opens in an evacuated failure domain. It allows for a fault of the store
+// and for processes that were started a short time before.
+func TestCheckOpenings(t *testing.T) {
+	at := func(seconds float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(seconds * 1e9)) }
+	key := flow.NewKey(sheetAddr, boardAddr)
+	burst := func(n int, warming bool) (list []flowtest.Opening) {
+		for i := range n {
+			list = append(list, flowtest.Opening{At: at(1 + float64(i)/20), WarmingUp: warming})
+		}
+		return list
+	}
+	opened := func(seconds float64) []flowtest.Opening {
+		return []flowtest.Opening{{At: at(seconds), Key: key, New: true}}
+	}
+	none, one := []time.Time(nil), []time.Time{at(14)}
+	for _, tt := range []struct {
+		name              string
+		openings          []flowtest.Opening
+		refused           int
+		balancer, sidecar []time.Time
+		want              string
+	}{
+		{"refused and opened", opened(1), 1, none, none, "refusal"},
+		{"a copy was refused", opened(1), 2, none, none, ""},
+		{"warming, at the limit", burst(warmupLimit, true), 0, none, none, ""},
+		{"warming, above the limit", burst(warmupLimit+1, true), 0, none, none, "warm-up-rate"},
+		{"warm", burst(warmupLimit+1, false), 0, none, none, ""},
+		{"soon after the store came back", opened(16), 0, none, none, ""},
+		{"evacuated", opened(17.1), 0, none, none, "evacuation"},
+		{"evacuated, sidecar started", opened(17.1), 0, none, one, "evacuation"},
+		{"evacuated, both started", opened(17.1), 0, one, one, ""},
+		{"taken back", opened(20.1), 0, none, none, ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &site{recorder: &recorder{startedAt: at(0)}, balancers: []*balancerProcess{{process: &process{interruptions: tt.balancer}}}}
+			s.evacuations = []evacuation{{domainName(1), at(1), at(2)}, {domainName(0), at(10), at(20)}}
+			s.storeFaults = []span{{at(11), at(12)}, {at(18), at(19)}}
+			l := &workload{site: s, refused: map[flow.Key]int{key: tt.refused}}
+			l.checkOpenings(&sidecarProcess{process: &process{interruptions: tt.sidecar}, failureDomain: domainName(0)}, tt.openings, func(flow.Key) bool { return false })
+			got := ""
+			if len(s.recorder.violations) > 0 {
+				got = s.recorder.violations[0].Promise
+			}
+			if got != tt.want || len(s.recorder.violations) > 1 {
+				t.Errorf("got violations %v, want promise %q", s.recorder.violations, tt.want)
+			}
+		})
+	}
+}
--- a/standin/flowtest/caller.go
+++ b/standin/flowtest/caller.go
@@ -111,12 +111,19 @@
 	openedVia netip.AddrPort
 	// openedViaSeveral is true if the opening packets were sent to more than one balancer.
 	openedViaSeveral bool
+	// refusedAfter is the number of opening packets that had been sent when a reset arrived instead of an
+	// answer; 0 if none has.
+	refusedAfter int
 }
 
 // OpenedVia returns the address of the balancer that the last opening packet was sent to, and whether
 // all opening packets were sent to that balancer.
 func (f *Flow) OpenedVia() (netip.AddrPort, bool) { return f.openedVia, !f.openedViaSeveral }
 
+// RefusedAfter returns the number of opening packets that the caller had sent when it was told that the
+// flow is refused; 0 if it was not refused.
+func (f *Flow) RefusedAfter() int { return f.refusedAfter }
+
 // Key returns the flow's key, which consists of the caller's and the service's address and port.
 func (f *Flow) Key() flow.Key { return f.key }
 
@@ -156,6 +163,9 @@
 		if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
 			continue
 		}
+		if errors.Is(err, ErrReset) {
+			f.refusedAfter = retransmissions + 1
+		}
 		if err != nil {
 			f.unregister()
 			return f, errors.WithMessage(ErrNotOpened, err.Error())
--- a/standin/flowtest/flows_test.go
+++ b/standin/flowtest/flows_test.go
@@ -221,7 +221,7 @@
 func (s *site) startUpstreamAt(i int, id string, startedAt time.Time) {
 	s.t.Helper()
 	u, stop, err := flowtest.StartUpstream(coreService, id, startedAt, s.block.Addr(sidecarSubnet, i+1, upstreamPort),
-		s.block.Addr(sidecarSubnet, i+1, outboundPort), s.block.Addr(sidecarSubnet, i+1, controlPort))
+		s.block.Addr(sidecarSubnet, i+1, outboundPort), s.block.Addr(sidecarSubnet, i+1, controlPort), flowtest.Pace{})
 	requireNoError(s.t, err)
 	s.upstreams[i] = u
 	s.stopUpstream[i] = stop
--- a/standin/flowtest/upstream.go
+++ b/standin/flowtest/upstream.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	maxDatagram = 2048
 	// heartbeatInterval is the pause between two heartbeats.
 	heartbeatInterval = 300 * time.Millisecond
+	// slotCount is the number of requests that an upstream works on at once.
+	slotCount = 2
 	// failureDomain is what upstreams report as their failure domain.
 	failureDomain = "stand-in"
 )
@@ -36,8 +39,13 @@
 	outboundAddr netip.AddrPort
 	conn         *net.UDPConn
 	codec        platform.PacketCodec
+	pace         Pace
 
 	mu sync.Mutex
+	// slotsFreeAt are the times from which the slots are free.
+	slotsFreeAt [slotCount]time.Time
+	// openings are the opening packets that arrived, oldest first.
+	openings []Opening
 	// heartbeat is the heartbeat to send. Its Sequence is incremented before each sending.
 	heartbeat flow.Heartbeat
 	flows     map[flow.Key]*upstreamFlow
@@ -51,6 +59,23 @@
 	runCounts map[string]int
 }
 
+// Pace is how fast an upstream works.
+type Pace struct {
+	// Work is how long a request occupies one of the upstream's slots before it is answered.
+	Work time.Duration
+	// Warmup is how long the upstream reports after its start that it warms up.
+	Warmup time.Duration
+}
+
+// Opening is the arrival of an opening packet at an upstream.
+type Opening struct {
+	At  time.Time
+	Key flow.Key
+	// New is set if the upstream has not answered an opening packet of the flow before. WarmingUp is
+	// set if the upstream warmed up.
+	New, WarmingUp bool
+}
+
 // upstreamFlow is the upstream's state of a flow.
 type upstreamFlow struct {
 	// initialSequence is the upstream's first sequence number.
@@ -60,12 +85,14 @@
 	established bool
 	// nextSequence is the sequence number of the next byte expected from the caller.
 	nextSequence uint32
+	// answerAt is when the answer to the last request is due.
+	answerAt time.Time
 }
 
 // StartUpstream starts an upstream that receives packets and accepts health checks at addr, sends
 // its packets to outboundAddr and its heartbeats to heartbeatAddr. The heartbeats give startedAt as its
 // start. It returns the upstream with the function that stops it.
-func StartUpstream(service, id string, startedAt time.Time, addr, outboundAddr, heartbeatAddr netip.AddrPort) (*Upstream, func(), error) {
+func StartUpstream(service, id string, startedAt time.Time, addr, outboundAddr, heartbeatAddr netip.AddrPort, pace Pace) (*Upstream, func(), error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "flowtest.StartUpstream")
@@ -79,8 +106,9 @@
 		service:      service,
 		outboundAddr: outboundAddr,
 		conn:         conn,
+		pace:         pace,
 		heartbeat: flow.Heartbeat{
-			ID: id, Service: service, Address: addr, FailureDomain: failureDomain, State: flow.StateReady, StartedAt: startedAt, Slots: 2,
+			ID: id, Service: service, Address: addr, FailureDomain: failureDomain, State: flow.StateReady, StartedAt: startedAt, Slots: slotCount,
 		},
 		flows:     map[flow.Key]*upstreamFlow{},
 		runCounts: map[string]int{},
@@ -158,6 +186,7 @@
 		u.mu.Lock()
 		u.heartbeat.Sequence++
 		h := u.heartbeat
+		h.WarmupLeft = u.warmupLeft()
 		u.mu.Unlock()
 		sendCtx, cancel := context.WithTimeout(ctx, time.Second)
 		err := platform.SendHeartbeat(sendCtx, heartbeatAddr, h) // may fail while the sidecar is down
@@ -172,6 +201,18 @@
 	}
 }
 
+// warmupLeft returns how much longer the upstream warms up.
+func (u *Upstream) warmupLeft() time.Duration {
+	return max(0, time.Until(u.heartbeat.StartedAt.Add(u.pace.Warmup)))
+}
+
+// Openings returns the opening packets that arrived, oldest first.
+func (u *Upstream) Openings() []Opening {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.openings)
+}
+
 // recordLeaving sets leftAt at its first call.
 func (u *Upstream) recordLeaving() {
 	u.mu.Lock()
@@ -218,6 +259,7 @@
 // handleOpen answers an opening packet. The flow f is nil unless an earlier copy of the packet has
 // arrived. The caller holds mu.
 func (u *Upstream) handleOpen(f *upstreamFlow, p *flow.Packet) {
+	u.openings = append(u.openings, Opening{At: time.Now(), Key: p.Key, New: f == nil, WarmingUp: u.warmupLeft() > 0})
 	if f == nil {
 		f = &upstreamFlow{initialSequence: rand.Uint32(), nextSequence: p.Sequence + 1}
 		u.flows[p.Key] = f
@@ -227,8 +269,8 @@
 	u.send(&flow.Packet{Key: p.Key, Flags: flow.FlagOpen | flow.FlagAck, Sequence: f.initialSequence, Ack: p.Sequence + 1}, nil)
 }
 
-// handleData handles a packet that neither opens nor resets the flow f. It runs a request once and
-// answers each copy of it. The caller holds mu.
+// handleData handles a packet that neither opens nor resets the flow f. It runs a request once, in the
+// slot that is free first, and answers each copy of it that arrives after that. The caller holds mu.
 func (u *Upstream) handleData(f *upstreamFlow, raw []byte, p *flow.Packet) {
 	f.established = true
 	if p.Flags.Has(flow.FlagEnd) {
@@ -243,12 +285,41 @@
 	if p.Sequence == f.nextSequence {
 		u.runCounts[request]++
 		f.nextSequence += uint32(p.Length)
+		f.answerAt = u.occupySlot()
+	} else if time.Now().Before(f.answerAt) {
+		return
+	}
+	answer := flow.Packet{Key: p.Key, Flags: flow.FlagAck, Sequence: p.Ack, Ack: p.Sequence + uint32(p.Length)}
+	time.AfterFunc(time.Until(f.answerAt), func() { u.answer(f, answer, request) })
+}
+
+// occupySlot takes the slot that is free first for one request and returns when it will be free again.
+// The caller holds mu.
+func (u *Upstream) occupySlot() time.Time {
+	slot := &u.slotsFreeAt[0]
+	for i := range u.slotsFreeAt {
+		if u.slotsFreeAt[i].Before(*slot) {
+			slot = &u.slotsFreeAt[i]
+		}
+	}
+	if now := time.Now(); slot.Before(now) {
+		*slot = now
+	}
+	*slot = slot.Add(u.pace.Work)
+	return *slot
+}
+
+// answer sends an answer, unless the flow f has ended meanwhile.
+func (u *Upstream) answer(f *upstreamFlow, p flow.Packet, content string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.flows[p.Key] != f {
+		return
 	}
-	flags := flow.FlagAck
 	if u.heartbeat.State == flow.StateLeaving {
-		flags |= flow.FlagEnd
+		p.Flags |= flow.FlagEnd
 	}
-	u.send(&flow.Packet{Key: p.Key, Flags: flags, Sequence: p.Ack, Ack: p.Sequence + uint32(p.Length)}, []byte(request))
+	u.send(&p, []byte(content))
 }
 
 func (u *Upstream) send(p *flow.Packet, data []byte) { u.write(u.codec.AppendPacket(nil, p, data)) }
