--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"greengagedyke/outlier"
 )
 
 // Action says what to do with a packet.
@@ -215,6 +217,8 @@
 	registered bool
 	// awaited holds the listed members that have neither reported nor expired recently.
 	awaited map[netip.AddrPort]bool
+	// outliers is nil unless outliers are detected.
+	outliers *outliers
 }
 
 // NewBalancer returns a balancer of the given failure domain that starts now.
@@ -281,6 +285,7 @@
 	if rankingChanged {
 		b.dropRankings(m.Load.Tag)
 		b.dropRankings(l.Tag)
+		m.outlier = outlier.Member{}
 	}
 	m.recordWork(&l)
 	m.Load = l
@@ -294,6 +299,7 @@
 		delete(b.expiredMembers, from)
 		delete(b.awaited, from)
 	}
+	b.updateOutliers(m, now)
 	return changed
 }
 
--- a/flow/member.go
+++ b/flow/member.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"greengagedyke/outlier"
 )
 
 // State says whether an upstream accepts new flows.
@@ -66,6 +68,8 @@
 	OpenFlows uint16
 	// RouteCosts are the expected times for one request of the routes with the most requests.
 	RouteCosts [RouteCostCount]RouteCost
+	// Evidence describes the recent outcomes of the upstream's requests.
+	Evidence outlier.Evidence
 	// Interval is the time until the next report if the state does not change.
 	Interval time.Duration
 }
@@ -97,6 +101,8 @@
 	needsProbes bool
 	// lastQueried is when the member was last queried as a ranked member.
 	lastQueried time.Time
+	// outlier says whether the upstream is worse than it says.
+	outlier outlier.Member
 	// seed is a hash of Addr from which the member's scores in rankings are computed.
 	seed uint64
 }
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"greengagedyke/outlier"
 	"greengagedyke/pace"
 	"greengagedyke/schedule"
 )
@@ -228,6 +229,8 @@
 	commitments schedule.Commitments[Key]
 	admission   admission
 	warmup      warmupLimit
+	// outcomes are those of the requests of the present upstream.
+	outcomes outlier.Recorder
 	// running tracks the requests that the upstream has, and pace how long it takes for requests.
 	running running
 	pace    *pace.Estimator
@@ -276,6 +279,9 @@
 	first := s.monitor.receivedAt.IsZero()
 	crashed := s.upstreamCrashed(now)
 	outcome := s.monitor.Heartbeat(hb, crashed || s.monitor.ending, now)
+	if outcome == HeartbeatStarted {
+		s.outcomes = outlier.Recorder{}
+	}
 	if tag := TagOf(hb.Service); outcome == HeartbeatStarted && tag != s.tag {
 		s.tag = tag
 		s.warmup.rate = 0 // it was the rate of the other service
@@ -406,6 +412,7 @@
 		Flows:         uint16(min(len(s.flows), 1<<16-1)),
 		WarmupLeft:    s.warmupLeft(now),
 		WarmupRoom:    s.warmup.room(now),
+		Evidence:      s.outcomes.Evidence(now),
 	}
 	s.addWork(&l, now)
 	return l
@@ -438,6 +445,7 @@
 		f.pending = false
 		s.pendingOpenings--
 		s.monitor.unanswered()
+		s.outcomes.Failed(now)
 		f.opening.Offered = true
 		send(&f.opening, forwardToSibling(&f.opening, ReasonUnanswered))
 	}
@@ -450,6 +458,7 @@
 	s.queue.expire(now)
 	s.expireEvacuations(now)
 	for k, f := range s.flows {
+		s.recordOverdue(f, now)
 		if f.awaitingAnswer && now.Sub(f.requestStart) > max(f.policy.Timeout, defaultTimeout/2) {
 			s.observeUnfinished(f, now)
 			s.finishRequest(f)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"greengagedyke/flow"
+	"greengagedyke/outlier"
 )
 
 // Kind is the type of a datagram.
@@ -68,7 +69,9 @@
 	// origin.
 	pathSize   = 3 + 4 + policySize + 2 + addressSize
 	policySize = 1 + 2 + 2
-	loadSize   = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2 + 2 + 4 + 2 + 2 + flow.RouteCostCount*routeCostSize
+	loadSize   = 8 + 4 + 4 + 4 + 1 + 2 + 2 + 2 + 4 + 2 + 2 + 4 + 2 + 2 + evidenceSize + flow.RouteCostCount*routeCostSize
+	// evidenceSize is the length of a failure share and an answer time.
+	evidenceSize = 1 + 2
 	// routeCostSize is the length of a route's ID and its cost in units of costUnit.
 	routeCostSize = 4 + 2
 	costUnit      = 100 * time.Microsecond
@@ -189,6 +192,8 @@
 	b = binary.BigEndian.AppendUint16(b, milliseconds(l.ServiceTime))
 	b = binary.BigEndian.AppendUint16(b, milliseconds(l.Interval))
 	b = binary.BigEndian.AppendUint16(b, l.OpenFlows)
+	b = append(b, evidenceByte(&l.Evidence))
+	b = binary.BigEndian.AppendUint16(b, milliseconds(l.Evidence.AnswerTime))
 	for _, c := range l.RouteCosts {
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Route))
 		b = binary.BigEndian.AppendUint16(b, uint16(max(0, min(c.Cost/costUnit, math.MaxUint16))))
@@ -217,6 +222,7 @@
 		ServiceTime:   time.Duration(binary.BigEndian.Uint16(b[37:])) * time.Millisecond,
 		Interval:      time.Duration(binary.BigEndian.Uint16(b[39:])) * time.Millisecond,
 		OpenFlows:     binary.BigEndian.Uint16(b[41:]),
+		Evidence:      parseEvidence(b[43:]),
 	}
 	for i := range l.RouteCosts {
 		c := b[loadSize-(flow.RouteCostCount-i)*routeCostSize:]
@@ -228,6 +234,28 @@
 	return l, nil
 }
 
+// maxShare encodes a failure share of 1, and 1 a share of 0. A byte of 0 means that there is no evidence.
+const maxShare = math.MaxUint8
+
+// evidenceByte encodes whether evidence is known, and its failure share.
+func evidenceByte(e *outlier.Evidence) byte {
+	if !e.Known {
+		return 0
+	}
+	return byte(1 + math.Round(max(0, min(e.FailureShare, 1))*(maxShare-1)))
+}
+
+// parseEvidence reads evidence; b has at least 3 bytes.
+func parseEvidence(b []byte) outlier.Evidence {
+	if b[0] == 0 {
+		return outlier.Evidence{}
+	}
+	return outlier.Evidence{
+		Known: true, FailureShare: float64(b[0]-1) / (maxShare - 1),
+		AnswerTime: time.Duration(binary.BigEndian.Uint16(b[1:])) * time.Millisecond,
+	}
+}
+
 // AppendFlowHeld appends a KindFlowHeld for flow k.
 func AppendFlowHeld(b []byte, k flow.Key) []byte {
 	return k.AppendBinary(append(b, magic, byte(KindFlowHeld)))
