A paused process's old opening packets reset no flow

A sidecar that was stopped for 1.4 s read a caller's first opening packet when it woke, and passed it on to a sibling that refused it by a reset. The clock sees suspensions of the VM, but not that only the process stood still.

Sidecars and balancers now check every 100 ms that they run. What is read within 100 ms after a gap above 180 ms goes on marked as offered, so no process resets it; a balancer drops its own resets of such packets. TestPausedSidecarMarksOpenings fails without the mark.

--- a/balancer/flow_balancer.go
+++ b/balancer/flow_balancer.go
@@ -62,6 +62,7 @@
 	seenSuspension time.Duration
 	// staleUntil is the time until which opening packets are dropped as stale.
 	staleUntil time.Time
+	pauses     clock.Pauses
 
 	mu       sync.Mutex
 	balancer *flow.Balancer
@@ -125,6 +126,7 @@
 		func(ctx context.Context) { reg.KeepRegistered(ctx, registry.RoleBalancer, f.cfg.Tunnel, revokeOnStop) },
 		func(ctx context.Context) { reg.PollAddresses(ctx, f.handleRegistered) },
 		f.tick,
+		func(ctx context.Context) { f.pauses.Run(ctx, f.clock) },
 		f.retryUndecided,
 		f.runLookups,
 		func(context.Context) { f.readPackets() },
@@ -253,9 +255,14 @@
 	if v.Buffer {
 		daemon.Signal(f.lookupAdded)
 	}
+	// A retransmission may have opened the flow elsewhere while this process was paused.
+	offered := p.Opening() && f.pauses.Recent(now)
+	if offered && v.Action == flow.ActionReset {
+		v.Action = flow.ActionDrop
+	}
 	switch v.Action {
 	case flow.ActionForward:
-		f.forward(&v.Path, b, out)
+		f.forward(&v.Path, b, out, offered)
 	case flow.ActionReset:
 		f.sendReset(p.Key, p.Ack)
 	}
@@ -275,9 +282,9 @@
 	return now.Before(f.staleUntil)
 }
 
-// forward sends the packet b along a path. out is scratch space for the datagram.
-func (f *FlowBalancer) forward(p *flow.Path, b, out []byte) {
-	out = peer.AppendPacket(out, p, 0, f.cfg.Tunnel, false)
+// forward sends the packet b along a path. offered is that of flow.TunnelPacket; out is scratch space for the datagram.
+func (f *FlowBalancer) forward(p *flow.Path, b, out []byte, offered bool) {
+	out = peer.AppendPacket(out, p, 0, f.cfg.Tunnel, offered)
 	f.send(append(out, b...), p.To)
 }
 
--- a/balancer/lookups.go
+++ b/balancer/lookups.go
@@ -59,7 +59,7 @@
 // forwardBuffered forwards packets that were buffered during a lookup.
 func (f *FlowBalancer) forwardBuffered(list []flow.OutgoingPacket) {
 	for i := range list {
-		f.forward(&list[i].Path, list[i].Raw, nil)
+		f.forward(&list[i].Path, list[i].Raw, nil, false)
 	}
 }
 
--- a/sidecar/flow_packets.go
+++ b/sidecar/flow_packets.go
@@ -117,6 +117,8 @@
 	if opening {
 		now = f.clock.Sync()
 		received.Raw = slices.Clone(raw)
+		// A retransmission may have opened the flow elsewhere while this process was paused.
+		received.Offered = received.Offered || f.pauses.Recent(now)
 	}
 	f.mu.Lock()
 	verdict := f.sidecar.FromTunnel(&received, now)
--- a/sidecar/flow_sidecar.go
+++ b/sidecar/flow_sidecar.go
@@ -60,6 +60,7 @@
 	listenNow chan struct{}
 	// reportNow is signaled to send a report to the balancers at once.
 	reportNow chan struct{}
+	pauses    clock.Pauses
 
 	mu      sync.Mutex
 	sidecar *flow.Sidecar
@@ -139,6 +140,7 @@
 		},
 		f.reportAndExpire,
 		f.watchUnanswered,
+		func(ctx context.Context) { f.pauses.Run(ctx, f.clock) },
 		f.runListenCheck,
 		f.runFlowChecks,
 		func(ctx context.Context) { f.notHeld.run(ctx, f.send) },
