--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -242,9 +242,9 @@
 }
 
 // overloaded reports whether so many requests wait that a sibling may be faster.
-func (s *Sidecar) overloaded(policy *RequestPolicy, now time.Time) bool {
+func (s *Sidecar) overloaded(tp *TunnelPacket, now time.Time) bool {
 	if s.placement == PlaceByExpectedTime {
-		return s.waitsTooLong(policy, now)
+		return s.waitsTooLong(tp, now)
 	}
 	slots := max(1, s.monitor.Last().Slots)
 	return s.outstanding() >= slots*(1+queuedPerSlot)
--- a/flow/expected_time.go
+++ b/flow/expected_time.go
@@ -1,7 +1,7 @@
 package flow
 
 import (
-	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -16,15 +16,27 @@
 	PlaceByExpectedTime
 )
 
+// placementNames are the names of the placements in settings.
+var placementNames = [...]string{"requests", "expected-time"}
+
+// String returns the placement's name in settings.
+func (p Placement) String() string { return placementNames[p] }
+
+// ParsePlacement returns the placement with a name in settings. The empty name is PlaceByRequests.
+func ParsePlacement(name string) (p Placement, ok bool) {
+	i := slices.Index(placementNames[:], name)
+	return Placement(max(0, i)), i >= 0 || name == ""
+}
+
+// DefaultOtherDomainTime is how much sooner a sidecar of another failure domain usually has to answer
+// to get a new flow.
+const DefaultOtherDomainTime = 15 * time.Millisecond
+
 const (
 	// candidateLimit is the number of ranked members of the own failure domain, and of others, that
 	// are compared. With more, all balancers would send their flows to the same few members until
 	// these report again.
 	candidateLimit = 3
-	// muchLater is the ratio of expected times above which a member comes last among the fallbacks.
-	muchLater = 2
-	// otherDomainTime is how much sooner a member of another failure domain has to answer.
-	otherDomainTime = 15 * time.Millisecond
 	// unansweredTime is added for a member that left an opening packet unanswered. It is more than
 	// callers wait until they send the packet again.
 	unansweredTime = time.Second
@@ -32,11 +44,15 @@
 	usualWorkGain = 1.0 / 8
 	// waitLimit is how long a request may wait for a slot before its flow goes to a sibling, as a
 	// multiple of the time that a request takes.
-	waitLimit = 1.5
+	waitLimit = 2.5
 )
 
-// SetPlacement changes how new flows are placed. It has to be called before the first packet.
-func (b *Balancer) SetPlacement(p Placement) { b.placement = p }
+// SetPlacement changes how new flows are placed. otherDomainTime is how much sooner a member of another
+// failure domain has to answer; only PlaceByExpectedTime uses it.
+func (b *Balancer) SetPlacement(p Placement, otherDomainTime time.Duration) {
+	b.placement = p
+	b.otherDomainTime = otherDomainTime
+}
 
 // recordWork updates what is known of the member's work for a report that is about to replace the one
 // before it.
@@ -57,10 +73,10 @@
 
 // expectedWork returns the work that the member is expected to have by now. Reported work is done after
 // a time and other work arrives, so an older report says less than what is usual.
-func (m *Member) expectedWork(now time.Time) time.Duration {
+func (m *Member) expectedWork(reportAge time.Duration) time.Duration {
 	slots := time.Duration(max(1, m.Load.Slots))
 	turnover := float64(max(m.Load.Work/slots, m.Load.ServiceTime, time.Millisecond))
-	current := turnover / (turnover + float64(max(0, now.Sub(m.ReportedAt))))
+	current := turnover / (turnover + float64(max(0, reportAge)))
 	return m.usualWork + time.Duration(current*float64(m.Load.Work-m.usualWork))
 }
 
@@ -69,13 +85,14 @@
 // balancers are expected to have sent it as much work as this one since it reported.
 func (b *Balancer) expectedTime(m *Member, id RouteID, now time.Time) time.Duration {
 	request := m.requestTime(id)
-	ahead := m.expectedWork(now) + time.Duration(1+len(b.peers))*m.sentWork
+	age := now.Sub(m.ReportedAt)
+	ahead := m.expectedWork(age) + time.Duration(1+len(b.peers))*m.sentWork
 	ahead += time.Duration(costFlow * float64(m.Load.OpenFlows) * float64(m.Load.ServiceTime))
 	t := ahead/time.Duration(max(1, m.Load.Slots)) + request
 	if m.Load.DomainID != b.domain {
-		t += otherDomainTime
+		t += b.otherDomainTime
 	}
-	if m.Load.WarmupLeft > now.Sub(m.ReportedAt) {
+	if m.Load.WarmupLeft > age {
 		t += request
 	}
 	if !m.unansweredSince.IsZero() && now.Sub(m.unansweredSince) > unansweredAfter {
@@ -97,43 +114,36 @@
 	return *n <= candidateLimit
 }
 
-// postponeSlow moves the fallbacks that are expected to answer much later than the best of a path to
-// its end. Sidecars that have too much work send the flow on to the first ones.
-func (b *Balancer) postponeSlow(path *Path, id RouteID, now time.Time) {
-	var times [RankingDepth]time.Duration
-	best := b.expectedTime(b.members[path.To], id, now)
-	for i, addr := range path.Fallbacks[:path.FallbackCount] {
-		times[i] = b.expectedTime(b.members[addr], id, now)
-		best = min(best, times[i])
-	}
-	var slow [RankingDepth]netip.AddrPort
-	n, postponed := 0, 0
-	for i, addr := range path.Fallbacks[:path.FallbackCount] {
-		if times[i] > muchLater*best {
-			slow[postponed] = addr
-			postponed++
-			continue
+// orderFallbacks sorts the first n fallbacks of a path by the expected times to an answer, and adds these
+// times, so that a sidecar that has too much work sends the flow on only if a sibling is quicker.
+func (b *Balancer) orderFallbacks(path *Path, n int, id RouteID, now time.Time) {
+	addrs, times := path.Fallbacks[:n], path.FallbackTimes[:n]
+	for i, addr := range addrs {
+		t := b.expectedTime(b.members[addr], id, now)
+		at := i
+		for ; at > 0 && times[at-1] > t; at-- {
+			addrs[at], times[at] = addrs[at-1], times[at-1]
 		}
-		path.Fallbacks[n] = addr
-		n++
+		addrs[at], times[at] = addr, t
 	}
-	copy(path.Fallbacks[n:], slow[:postponed])
 }
 
 // SetPlacement changes when opening packets go to siblings: with PlaceByRequests, if too many requests
 // wait; with PlaceByExpectedTime, if a new request is expected to wait too long.
 func (s *Sidecar) SetPlacement(p Placement) { s.placement = p }
 
-// waitsTooLong reports whether a new request of a policy is expected to wait for a slot for so long
-// that a sibling may be faster. The balancer's choice rests on a report; this decision does not.
-func (s *Sidecar) waitsTooLong(policy *RequestPolicy, now time.Time) bool {
+// waitsTooLong reports whether the first request of a new flow is expected to wait for a slot for so long
+// that the next fallback is quicker. The balancer's choice rests on a report; this decision does not.
+func (s *Sidecar) waitsTooLong(tp *TunnelPacket, now time.Time) bool {
 	slots := max(1, s.slots())
-	if s.outstanding() < slots {
+	if s.outstanding()+s.commitments.Len() < slots {
 		return false
 	}
 	limit := time.Duration(waitLimit * float64(s.pace.Pace(now)))
-	if policy.LatencyTarget > 0 {
-		limit = min(limit, policy.LatencyTarget)
+	if target := tp.Path.Policy.LatencyTarget; target > 0 {
+		limit = min(limit, target)
 	}
-	return s.work(now)/time.Duration(slots) > limit
+	wait := s.work(now) / time.Duration(slots)
+	expected := wait + s.pace.ExpectRoute(tp.Packet.Key.Service(), now)
+	return wait > limit && (tp.Hop >= tp.Path.FallbackCount || tp.Path.FallbackTimes[tp.Hop] < expected)
 }
--- a/sidecar/flow_sidecar.go
+++ b/sidecar/flow_sidecar.go
@@ -95,6 +95,11 @@
 		histograms[m] = daemon.NewHistogram(flow.Latency(m).String(), r)
 	}
 	f.sidecar.SetFailureDomain(cfg.FailureDomain)
+	placement, _ := flow.ParsePlacement(cfg.Placement)
+	f.sidecar.SetPlacement(placement)
+	if cfg.Admission {
+		f.sidecar.EnableAdmission()
+	}
 	f.sidecar.Observe(func(m flow.Latency, d time.Duration) { histograms[m].Record(d) })
 	metrics.NewRegisteredFunctionalGauge("request.dropped", r, func() int64 {
 		f.mu.Lock()
