--- a/soak/plan.go
+++ b/soak/plan.go
@@ -86,6 +86,10 @@
 // faultFreeTail is the time without faults at the end of a run.
 func (o *Options) faultFreeTail() time.Duration { return recoveryTime + steadyTime }
 
+// allOptions reports whether the processes run with admission, placement by expected time and outlier
+// detection, which settings turn on. They do with even seeds.
+func (o *Options) allOptions() bool { return o.Seed%2 == 0 }
+
 // FaultKind is a kind of fault or of planned maintenance. Its string appears in plans and reports.
 type FaultKind string
 
--- a/soak/site.go
+++ b/soak/site.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"greengagedyke/balancer"
+	"greengagedyke/flow"
 	"greengagedyke/platform"
 	"greengagedyke/service"
 	"greengagedyke/sidecar"
@@ -235,6 +236,10 @@
 		Store:         storeAddr,
 		Peers:         s.seedPeers(),
 	}
+	if s.opts.allOptions() {
+		cfg.DetectOutliers = true
+		cfg.Placement = flow.PlaceByExpectedTime.String()
+	}
 	callerPath, callerPathAddr, stop, err := proxy.UDP(s.block.Addr(proxySubnet, i+1, packetsPort), cfg.Packets)
 	if err != nil {
 		return nil, err
@@ -290,6 +295,10 @@
 		Patience:      service.Duration(heartbeatPatience),
 		FlowLimit:     service.Duration(time.Minute),
 	}
+	if s.opts.allOptions() {
+		cfg.Admission = true
+		cfg.Placement = flow.PlaceByExpectedTime.String()
+	}
 	var stop func()
 	p.heartbeatPath, p.heartbeatAddr, stop, err = proxy.TCP(netip.AddrPortFrom(s.block.IP(0, 4), 0), cfg.Heartbeats)
 	if err != nil {
