--- a/standin/flowtest/upstream.go
+++ b/standin/flowtest/upstream.go
@@ -120,14 +120,14 @@
 	go func() { acceptHealthChecks(health); done <- struct{}{} }()
 	go func() { u.read(); done <- struct{}{} }()
 	go func() { u.sendHeartbeats(ctx, heartbeatAddr); done <- struct{}{} }()
-	return u, func() {
+	return u, sync.OnceFunc(func() {
 		cancel()
 		conn.Close()
 		health.Close()
 		for range cap(done) {
 			<-done
 		}
-	}, nil
+	}), nil
 }
 
 // acceptHealthChecks accepts connections and closes them at once, until ln is closed. A successful
@@ -202,7 +202,7 @@
 		u.mu.Lock()
 		u.heartbeat.Sequence++
 		h := u.heartbeat
-		h.WarmupLeft = u.warmupLeft()
+		h.WarmupLeft = max(h.WarmupLeft, u.warmupLeft())
 		u.mu.Unlock()
 		sendCtx, cancel := context.WithTimeout(ctx, time.Second)
 		err := platform.SendHeartbeat(sendCtx, heartbeatAddr, h) // may fail while the sidecar is down
