Adaptive placement: by expected time where upstreams differ in pace

What is new must act only where it is called for. Change: placement "adaptive" decides for each service by the paces that its sidecars report; the sidecar follows the times in the path, without a setting.

--- a/balancer/flow_settings.go
+++ b/balancer/flow_settings.go
@@ -28,10 +28,11 @@
 	// others of their service: slow, silent, or resetting flows.
 	DetectOutliers bool `json:"outlier-detection,omitempty"`
 	// Placement says how the sidecar for a new flow is chosen: "requests" (the default) for the one with
-	// the fewest requests per slot, "expected-time" for the one that is expected to answer first.
+	// the fewest requests per slot, "expected-time" for the one that is expected to answer first. With
+	// "adaptive", expected times decide about services whose upstreams differ in pace.
 	Placement string `json:"placement,omitempty"`
 	// OtherDomainTime is how much sooner a sidecar of another failure domain has to answer to get a flow,
-	// if placement is "expected-time".
+	// if expected times decide.
 	OtherDomainTime service.Duration `json:"other-domain-time,omitempty"`
 	// Metrics is the HTTP address for metrics; they are not served if it is empty.
 	Metrics netip.AddrPort `json:"metrics-address,omitempty"`
@@ -56,7 +57,7 @@
 		return &settings.FieldError{Field: "failure-domain", Problem: "must not be empty"}
 	}
 	if _, ok := flow.ParsePlacement(s.Placement); !ok {
-		return &settings.FieldError{Field: "placement", Problem: `must be "requests" or "expected-time"`}
+		return &settings.FieldError{Field: "placement", Problem: `must be "requests", "expected-time" or "adaptive"`}
 	}
 	if s.OtherDomainTime < 0 {
 		return &settings.FieldError{Field: "other-domain-time", Problem: "must not be negative"}
--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -177,6 +177,7 @@
 	// placement says how new flows are placed, and otherDomainTime how much sooner a member of another
 	// failure domain has to answer.
 	placement       Placement
+	paces           map[Tag]*paceComparison
 	otherDomainTime time.Duration
 	// cfg is the configuration in force; its version is 0 before there is one.
 	cfg *Configuration
@@ -238,6 +239,7 @@
 		locations:  newLocationCache(),
 
 		placementRankings: map[Tag]*ranking{},
+		paces:             map[Tag]*paceComparison{},
 
 		lookups:    map[Key]*lookup{},
 		queries:    map[uint32]*pendingQuery{},
@@ -305,6 +307,7 @@
 		delete(b.awaited, from)
 	}
 	b.updateOutliers(m, now)
+	b.comparePaces(l.Tag, now)
 	return changed
 }
 
--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -241,10 +241,11 @@
 	return SidecarVerdict{Action: ActionUpstream, Reason: ReasonPlaced}
 }
 
-// overloaded reports whether so many requests wait that a sibling may be faster.
+// overloaded reports whether so many requests wait that the next fallback may be faster, by the expected
+// times if the balancer placed the flow by these. There must be a fallback.
 func (s *Sidecar) overloaded(tp *TunnelPacket, now time.Time) bool {
-	if s.placement == PlaceByExpectedTime {
-		return s.waitsTooLong(tp, now)
+	if next := tp.Path.FallbackTimes[tp.Hop]; next > 0 {
+		return s.waitsTooLong(tp, next, now)
 	}
 	slots := max(1, s.monitor.Last().Slots)
 	return s.outstanding() >= slots*(1+queuedPerSlot)
--- a/flow/expected_time.go
+++ b/flow/expected_time.go
@@ -14,10 +14,13 @@
 	// PlaceByExpectedTime chooses the sidecar that is expected to answer first. It answers loads in
 	// which requests that look alike cost different amounts of work, and upstreams of unequal pace.
 	PlaceByExpectedTime
+	// PlaceAdaptively is PlaceByExpectedTime for services whose upstreams differ in pace, and
+	// PlaceByRequests for others.
+	PlaceAdaptively
 )
 
 // placementNames are the names of the placements in settings.
-var placementNames = [...]string{"requests", "expected-time"}
+var placementNames = [...]string{"requests", "expected-time", "adaptive"}
 
 // String returns the placement's name in settings.
 func (p Placement) String() string { return placementNames[p] }
@@ -141,13 +144,9 @@
 	}
 }
 
-// SetPlacement changes when opening packets go to siblings: with PlaceByRequests, if too many requests
-// wait; with PlaceByExpectedTime, if a new request is expected to wait too long.
-func (s *Sidecar) SetPlacement(p Placement) { s.placement = p }
-
 // waitsTooLong reports whether the first request of a new flow is expected to wait for a slot for so long
-// that the next fallback is quicker. The balancer's choice rests on a report; this decision does not.
-func (s *Sidecar) waitsTooLong(tp *TunnelPacket, now time.Time) bool {
+// that the next fallback, whose answer is expected after next, is quicker. The balancer's choice rests on a report; this decision does not.
+func (s *Sidecar) waitsTooLong(tp *TunnelPacket, next time.Duration, now time.Time) bool {
 	slots := max(1, s.slots())
 	if s.outstanding()+s.commitments.Len() < slots {
 		return false
@@ -158,5 +157,5 @@
 	}
 	wait := s.work(now) / time.Duration(slots)
 	expected := wait + s.pace.ExpectRoute(tp.Packet.Key.Service(), now)
-	return wait > limit && (tp.Hop >= tp.Path.FallbackCount || tp.Path.FallbackTimes[tp.Hop] < time.Duration(forwardRatio*float64(expected)))
+	return wait > limit && next < forwardRatio*expected
 }
--- a/flow/expected_time_test.go
+++ b/flow/expected_time_test.go
@@ -92,7 +92,6 @@
 		}
 		u.sidecar = NewSidecar(NewHeartbeatMonitor(time.Hour), testServiceName, time.Minute, r.now)
 		u.sidecar.Heartbeat(Heartbeat{ID: "i", Service: testServiceName, Sequence: 1, State: StateReady, Slots: replaySlots}, r.now)
-		u.sidecar.SetPlacement(placement)
 		r.upstreams = append(r.upstreams, u)
 		r.report(u)
 	}
--- /dev/null
+++ b/flow/paces.go
@@ -0,0 +1,62 @@
+package flow
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// paceInterval is the time between comparisons of the upstreams of a service.
+	paceInterval = time.Second
+	// minCompared is the smallest number of upstreams that are compared.
+	minCompared = 4
+	// The upstreams of a service differ in pace once a slow one, at four fifths of all, takes unevenRatio
+	// times as long for a request as a fast one, at one fifth; until the ratio falls below evenRatio.
+	unevenRatio = 1.6
+	evenRatio   = 1.3
+)
+
+// paceComparison says whether the upstreams of a service differ in pace.
+type paceComparison struct {
+	at     time.Time
+	uneven bool
+}
+
+// placesByTime reports whether the new flows of a service are placed by the expected time to an answer.
+func (b *Balancer) placesByTime(tag Tag) bool {
+	if b.placement != PlaceAdaptively {
+		return b.placement == PlaceByExpectedTime
+	}
+	c, ok := b.paces[tag]
+	return ok && c.uneven
+}
+
+// comparePaces compares the upstreams of a service by the time that they take for a request, for
+// PlaceAdaptively.
+func (b *Balancer) comparePaces(tag Tag, now time.Time) {
+	if b.placement != PlaceAdaptively {
+		return
+	}
+	c, ok := b.paces[tag]
+	if !ok {
+		c = &paceComparison{}
+		b.paces[tag] = c
+	}
+	if now.Sub(c.at) < paceInterval {
+		return
+	}
+	c.at = now
+	var times []time.Duration
+	for _, m := range b.members {
+		if m.Load.Tag == tag && m.acceptsFlows(now) {
+			times = append(times, m.Load.ServiceTime)
+		}
+	}
+	if len(times) < minCompared {
+		return
+	}
+	slices.Sort(times)
+	fast, slow := times[len(times)/5], times[len(times)-1-len(times)/5]
+	ratio := float64(slow) / float64(max(fast, time.Millisecond))
+	c.uneven = ratio >= unevenRatio || c.uneven && ratio >= evenRatio
+}
--- a/flow/placement.go
+++ b/flow/placement.go
@@ -33,7 +33,7 @@
 	}
 	v.Path.To = best.Addr
 	n := b.addFallbacks(&v.Path, r, hash, best, now)
-	if b.placement == PlaceByExpectedTime {
+	if b.placesByTime(path.Tag) {
 		v.Expected = b.expectedTime(best, id, now)
 		b.orderFallbacks(&v.Path, n, id, now)
 	}
@@ -77,6 +77,7 @@
 	var best, resort, last *Member
 	var lowest float64
 	var compared candidates
+	byTime := b.placesByTime(r.members[0].Load.Tag)
 	for rank := range r.depth {
 		m := r.at(hash, rank)
 		if !m.acceptsFlows(now) {
@@ -92,10 +93,10 @@
 			}
 			continue
 		}
-		if b.placement == PlaceByExpectedTime && !compared.add(m.Load.DomainID == b.domain) {
+		if byTime && !compared.add(m.Load.DomainID == b.domain) {
 			continue
 		}
-		cost := b.cost(m, id, now)
+		cost := b.cost(m, id, byTime, now)
 		if best == nil || cost < lowest {
 			best, lowest = m, cost
 		}
@@ -109,9 +110,10 @@
 	return last
 }
 
-// cost returns the cost of sending a new flow of a route to the member, in the unit of the placement.
-func (b *Balancer) cost(m *Member, id RouteID, now time.Time) float64 {
-	if b.placement == PlaceByExpectedTime {
+// cost returns the cost of sending a new flow of a route to the member: the expected time to an answer if
+// byTime is set, else the requests that are ahead per slot.
+func (b *Balancer) cost(m *Member, id RouteID, byTime bool, now time.Time) float64 {
+	if byTime {
 		return float64(b.expectedTime(m, id, now))
 	}
 	return m.cost(b.domain, now)
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -234,8 +234,6 @@
 	// running tracks the requests that the upstream has, and pace how long it takes for requests.
 	running running
 	pace    *pace.Estimator
-	// placement decides when opening packets go to siblings.
-	placement Placement
 	// pendingOpenings is the number of flows with pending set.
 	pendingOpenings int
 	// busy is the number of flows with awaitingAnswer set. Unlike Load.Busy, it does not include
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -137,7 +137,9 @@
 	b = appendAddr(b, origin)
 	for i := range p.FallbackCount {
 		b = appendAddr(b, p.Fallbacks[i])
-		b = append(b, byte(max(0, min(p.FallbackTimes[i]/fallbackTimeUnit, math.MaxUint8))))
+		// Rounded up, since 0 means that the time is unknown.
+		units := (p.FallbackTimes[i] + fallbackTimeUnit - 1) / fallbackTimeUnit
+		b = append(b, byte(max(0, min(units, math.MaxUint8))))
 	}
 	return b
 }
--- a/sidecar/flow_settings.go
+++ b/sidecar/flow_settings.go
@@ -4,7 +4,6 @@
 	"net/netip"
 	"time"
 
-	"greengagedyke/flow"
 	"greengagedyke/service"
 	"greengagedyke/settings"
 )
@@ -42,9 +41,6 @@
 	// FlowLimit is the idle timeout of flows: the time without a packet after which the sidecar deletes
 	// a flow's state.
 	FlowLimit service.Duration `json:"flow-limit"`
-	// Placement says when a new flow goes to a sibling: "requests" (the default) if too many requests
-	// wait for a slot, "expected-time" if a request is expected to wait too long.
-	Placement string `json:"placement,omitempty"`
 	// Admission makes the sidecar refuse new flows whose first request can't be answered before its
 	// caller gives up.
 	Admission bool `json:"admission,omitempty"`
@@ -70,9 +66,6 @@
 
 // Defaults implements settings.Config.
 func (s *FlowSettings) Defaults() {
-	if s.Placement == "" {
-		s.Placement = flow.PlaceByRequests.String()
-	}
 	if s.Patience == 0 {
 		s.Patience = service.Duration(2 * time.Second)
 	}
@@ -93,9 +86,6 @@
 	case s.BalancerPort == 0:
 		return &settings.FieldError{Field: "balancer-port", Problem: "must be a port"}
 	}
-	if _, ok := flow.ParsePlacement(s.Placement); !ok {
-		return &settings.FieldError{Field: "placement", Problem: `must be "requests" or "expected-time"`}
-	}
 	return settings.FirstError(
 		settings.CheckAddress("tunnel-address", s.Tunnel),
 		settings.CheckAddress("outbound-address", s.Outbound),
--- a/sidecar/flow_sidecar.go
+++ b/sidecar/flow_sidecar.go
@@ -95,8 +95,6 @@
 		histograms[m] = daemon.NewHistogram(flow.Latency(m).String(), r)
 	}
 	f.sidecar.SetFailureDomain(cfg.FailureDomain)
-	placement, _ := flow.ParsePlacement(cfg.Placement)
-	f.sidecar.SetPlacement(placement)
 	if cfg.Admission {
 		f.sidecar.EnableAdmission()
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -297,7 +297,6 @@
 	}
 	if s.opts.allOptions() {
 		cfg.Admission = true
-		cfg.Placement = flow.PlaceByExpectedTime.String()
 	}
 	var stop func()
 	p.heartbeatPath, p.heartbeatAddr, stop, err = proxy.TCP(netip.AddrPortFrom(s.block.IP(0, 4), 0), cfg.Heartbeats)
