--- /dev/null
+++ b/flow/bookkeeping_test.go
@@ -0,0 +1,144 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"greengagedyke/schedule"
+)
+
+// The upstream resets a flow whose request is queued. The request leaves the queue, so it takes no slot
+// that it would keep until its timeout.
+func TestResetFlowLeavesQueue(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	for i := range 4 {
+		openAndRequest(t, s, i, now)
+	}
+	if s.queue.Len() != 1 || s.busy != 3 {
+		t.Fatalf("got %d queued and %d at the upstream, want 1 and 3", s.queue.Len(), s.busy)
+	}
+	for i := 3; i >= 0; i-- {
+		p := fromUpstream(FlagReset, 501, 0)
+		p.Key = keyOf(i)
+		s.FromUpstream(p, now)
+	}
+	s.ReleaseQueued(now, func([]byte) { t.Error("the upstream got the request of a flow that it has reset") })
+	if s.outstanding() != 0 || len(s.running.active)+len(s.running.waiting) != 0 {
+		t.Errorf("got %d requests, %d running; want none", s.outstanding(), len(s.running.active)+len(s.running.waiting))
+	}
+}
+
+// A flow ends before its first request. No work is expected for it any more.
+func TestEndedFlowHasNoCommitment(t *testing.T) {
+	for name, end := range map[string]func(s *Sidecar, now time.Time){
+		"caller resets": func(s *Sidecar, now time.Time) {
+			s.FromTunnel(callerPacket(Packet{Flags: FlagReset | FlagAck, Sequence: 101, Ack: 501}), now)
+		},
+		"caller ends": func(s *Sidecar, now time.Time) {
+			s.FromTunnel(callerPacket(Packet{Flags: FlagEnd | FlagAck, Sequence: 101, Ack: 501}), now)
+		},
+		"upstream resets":    func(s *Sidecar, now time.Time) { s.FromUpstream(fromUpstream(FlagReset, 501, 0), now) },
+		"upstream is absent": func(s *Sidecar, _ time.Time) { s.loseAllFlows() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, now := testSidecar(t, time.Second)
+			wantVerdict(t, s.FromTunnel(openingTunnelPacket(), now), ActionUpstream, ReasonPlaced)
+			s.FromUpstream(fromUpstream(FlagOpen|FlagAck, 500, 0), now)
+			end(s, now)
+			if got := s.commitments.Work(); got != 0 {
+				t.Errorf("got %v expected, want none", got)
+			}
+		})
+	}
+}
+
+// Callers open flows and send no request. After schedule.CommitmentTimeout, a new flow is admitted, also
+// if no report was sent meanwhile.
+func TestAdmissionForgetsCommitments(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	s.EnableAdmission()
+	open := func(i int) SidecarVerdict {
+		tp := openingTunnelPacket()
+		tp.Packet.Key = keyOf(i)
+		tp.Path.Policy.Timeout = time.Second
+		tp.Path.FallbackCount = 0
+		return s.FromTunnel(tp, now)
+	}
+	for i := range 400 {
+		open(i)
+	}
+	wantVerdict(t, open(400), ActionReset, ReasonOverload)
+	now = now.Add(schedule.CommitmentTimeout + time.Millisecond)
+	sendHeartbeat(t, s, Heartbeat{ID: "i-1", StartedAt: s.monitor.Last().StartedAt, Sequence: 2}, now)
+	wantVerdict(t, open(401), ActionUpstream, ReasonPlaced)
+}
+
+// The network delivers the first transmission of an opening packet twice, and the sidecar takes no new
+// flows any more when the second copy arrives. The upstream may still answer the first one, so the
+// caller is sent no reset.
+func TestRepeatedOpeningPacketIsNotReset(t *testing.T) {
+	for name, change := range map[string]func(s *Sidecar, tp *TunnelPacket){
+		"leaving":       func(s *Sidecar, _ *TunnelPacket) { s.Leave() },
+		"other service": func(_ *Sidecar, tp *TunnelPacket) { tp.Path.Tag++ },
+		"evacuated": func(s *Sidecar, _ *TunnelPacket) {
+			s.SetFailureDomain("a")
+			s.HandleEvacuations(evacuationsOf(2, "a"), time.Unix(1001, 0))
+		},
+	} {
+		for _, answered := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				s, now := testSidecar(t, time.Second)
+				opening := func() *TunnelPacket {
+					tp := openingTunnelPacket()
+					tp.Path.FallbackCount = 0
+					return tp
+				}
+				wantVerdict(t, s.FromTunnel(opening(), now), ActionUpstream, ReasonPlaced)
+				if answered {
+					s.FromUpstream(fromUpstream(FlagOpen|FlagAck, 500, 0), now)
+				}
+				tp := opening()
+				change(s, tp)
+				if v := s.FromTunnel(tp, now); v.Action == ActionReset {
+					t.Errorf("answered %v: got a reset, %v", answered, v.Reason)
+				}
+			})
+		}
+	}
+}
+
+// A new process at a sidecar's address is in another failure domain, which is evacuated.
+func TestMemberMovesToEvacuatedDomain(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := evacuationBalancer(now)
+	b.HandleEvacuations(evacuationsOf(2, "c"), now)
+	first := b.Decide(openingPacket(0), now).Path.To
+	l := b.members[first].Load
+	l.Incarnation++
+	l.DomainID = DomainID("c")
+	b.HandleReport(first, l, now)
+	v := b.Decide(openingPacket(0), now)
+	if pathMembers(&v)[first] {
+		t.Error("the path of a new flow leads to the evacuated domain")
+	}
+}
+
+// A dropped request's caller sends it again. If the upstream has free slots, it gets the request at once.
+func TestDroppedRequestIsSentAgain(t *testing.T) {
+	s, now := testSidecar(t, time.Second)
+	for i := range 4 {
+		openAndRequest(t, s, i, now)
+	}
+	now = now.Add(defaultTimeout + time.Second)
+	s.Expire(now)
+	if s.queue.Len() != 0 || s.busy != 0 || s.DroppedRequests() != 1 {
+		t.Fatalf("got %d queued, %d at the upstream, %d dropped; want only one dropped", s.queue.Len(), s.busy, s.DroppedRequests())
+	}
+	sendHeartbeat(t, s, Heartbeat{ID: "i-1", StartedAt: s.monitor.Last().StartedAt, Sequence: 2}, now)
+	tp := dataTunnelPacket(501)
+	tp.Packet.Key = keyOf(3)
+	wantVerdict(t, s.FromTunnel(tp, now), ActionUpstream, ReasonKnown)
+	if s.busy != 1 {
+		t.Errorf("got %d requests at the upstream, want 1", s.busy)
+	}
+}
