--- a/flow/upstream_packets.go
+++ b/flow/upstream_packets.go
@@ -69,6 +69,7 @@
 	if p.Flags.Has(FlagReset) {
 		f.ended = bothEnded
 		s.finishRequest(f)
+		s.dropQueued(p.Key, f)
 	}
 }
 
