Expect no request on a flow that has ended or is lost

Such a flow counted as work for 2 s, so after the reset of many flows a sidecar reported work that nobody would send, and refused or forwarded new flows.

--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -150,11 +150,13 @@
 	f.advance(p)
 	if p.Flags.Has(FlagEnd) {
 		f.ended |= callerEnded
+		s.commitments.Remove(p.Key)
 	}
 	if p.Flags.Has(FlagReset) {
 		f.ended = bothEnded
 		s.finishRequest(f)
 		s.dropQueued(p.Key, f)
+		s.commitments.Remove(p.Key)
 	}
 }
 
--- a/flow/flow_check.go
+++ b/flow/flow_check.go
@@ -59,6 +59,7 @@
 	}
 	s.finishRequest(f)
 	s.dropQueued(k, f)
+	s.commitments.Remove(k)
 	f.delivered = nil
 	f.lost = true
 }
--- a/flow/upstream_packets.go
+++ b/flow/upstream_packets.go
@@ -65,11 +65,13 @@
 	}
 	if p.Flags.Has(FlagEnd) {
 		f.ended |= upstreamEnded
+		s.commitments.Remove(p.Key)
 	}
 	if p.Flags.Has(FlagReset) {
 		f.ended = bothEnded
 		s.finishRequest(f)
 		s.dropQueued(p.Key, f)
+		s.commitments.Remove(p.Key)
 	}
 }
 
