Expire commitments before the decision about a new flow

Only reports and admitted flows expired them. While all flows were refused, commitments older than their timeout counted until the next report.

--- a/flow/admission.go
+++ b/flow/admission.go
@@ -30,6 +30,7 @@
 // turnAway returns the decision about an opening packet that goes to a sibling or is refused because of
 // the upstream's load. It returns false if the upstream takes the flow.
 func (s *Sidecar) turnAway(tp *TunnelPacket, now time.Time) (SidecarVerdict, bool) {
+	s.commitments.Expire(now) // admit expires them too, but is not called while flows are refused
 	decision := s.decideAdmission(tp, now)
 	refused := decision == schedule.Refuse || decision == schedule.RefuseLate
 	switch {
