Reset no caller whose opening packet the upstream got before

The network may deliver a first transmission twice. If the sidecar took no new flows when the second copy arrived, and no fallback was left, the caller of a flow that was open or about to be was reset.

--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -201,20 +201,38 @@
 	return ActionDrop
 }
 
+// markOffered sets Offered for an opening packet of which the upstream, or the one before it, got an
+// earlier copy. The network may deliver a first transmission twice.
+func (s *Sidecar) markOffered(tp *TunnelPacket) {
+	f, ok := s.flows[tp.Packet.Key]
+	if ok && !f.learned && f.opening.Packet.Sequence == tp.Packet.Sequence {
+		tp.Offered = true
+	}
+}
+
+// decline returns the decision about an opening packet that the upstream must not get.
+func (s *Sidecar) decline(tp *TunnelPacket, reason Reason) SidecarVerdict {
+	s.markOffered(tp)
+	return forwardToSibling(tp, reason)
+}
+
 // open returns the decision about an opening packet.
 func (s *Sidecar) open(tp *TunnelPacket, now time.Time) SidecarVerdict {
 	if tp.Path.Tag != s.tag {
-		return forwardToSibling(tp, ReasonOtherService)
+		return s.decline(tp, ReasonOtherService)
 	}
 	switch s.State(now) {
 	case StateReady:
 	case StateEvacuated:
 		return s.openEvacuated(tp, now)
 	default:
-		return forwardToSibling(tp, ReasonUpstreamClosed)
+		return s.decline(tp, ReasonUpstreamClosed)
 	}
 	f, ok := s.flows[tp.Packet.Key]
 	delivered := ok && !f.lost
+	if !delivered {
+		s.markOffered(tp)
+	}
 	s.warmup.learnRate(tp.Path.WarmupRate, now)
 	if s.warmupExhausted(now) {
 		if !delivered {
--- a/flow/sidecar_evacuation.go
+++ b/flow/sidecar_evacuation.go
@@ -50,7 +50,7 @@
 	if ok && !f.answered {
 		tp.Offered = true // the upstream got the opening packet before the evacuation
 	}
-	return forwardToSibling(tp, ReasonEvacuated)
+	return s.decline(tp, ReasonEvacuated)
 }
 
 // repeatsOpening reports whether an opening packet repeats the one that opened the flow, so that the
