--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -287,11 +287,13 @@
 	if ok && m.Load.Incarnation != l.Incarnation {
 		m.recordFormer(m.Load.Incarnation)
 	}
-	rankingChanged := !ok || m.Load.Tag != l.Tag
-	changed := rankingChanged || m.Load.State != l.State
-	if rankingChanged {
+	serviceChanged := !ok || m.Load.Tag != l.Tag
+	changed := serviceChanged || m.Load.State != l.State
+	if serviceChanged || m.Load.DomainID != l.DomainID {
 		b.dropRankings(m.Load.Tag)
 		b.dropRankings(l.Tag)
+	}
+	if serviceChanged {
 		m.outlier = outlier.Member{}
 	}
 	m.recordWork(&l)
