Treat a dropped request that is sent again as a new one

The flow still counted as queued, so the request waited in the empty queue for the next packet of the upstream or the next report, though slots were free.

--- a/flow/queue.go
+++ b/flow/queue.go
@@ -38,6 +38,8 @@
 	// dropped is the number of requests that were dropped, since they could not be answered any more
 	// before their callers give up.
 	dropped uint64
+	// onDrop is called with each of them, unless it is nil.
+	onDrop func(queuedRequest)
 }
 
 // queuedRequest is a request that has left the queue.
@@ -86,7 +88,27 @@
 // expire drops the requests that can't be answered any more before their callers give up.
 func (q *Queue) expire(now time.Time) { q.requests.Expire(now, q.countDropped) }
 
-func (q *Queue) countDropped(queuedRequest) { q.dropped++ }
+func (q *Queue) countDropped(req queuedRequest) {
+	q.dropped++
+	if q.onDrop != nil {
+		q.onDrop(req)
+	}
+}
+
+// forgetDropped makes the packets of a request that was dropped from the queue count as new, since the
+// upstream got none of them.
+func (s *Sidecar) forgetDropped(req queuedRequest) {
+	f, ok := s.flows[req.Key]
+	if !ok || !f.queued {
+		return
+	}
+	f.queued = false
+	for _, p := range req.Payload {
+		if int32(p.sequence-f.nextSequence) < 0 {
+			f.nextSequence = p.sequence
+		}
+	}
+}
 
 // DroppedRequests returns how many queued requests were dropped, since they could not be answered any
 // more before their callers give up.
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -255,7 +255,7 @@
 // NewSidecar returns a sidecar for the upstream of a service. The sidecar starts at now, on a
 // monotonic clock. Flows without a packet for idleTimeout are removed.
 func NewSidecar(monitor *HeartbeatMonitor, service string, idleTimeout time.Duration, now time.Time) *Sidecar {
-	return &Sidecar{
+	s := &Sidecar{
 		monitor:     monitor,
 		tag:         TagOf(service),
 		started:     now,
@@ -266,6 +266,8 @@
 		idleTimeout: idleTimeout,
 		warmup:      warmupLimit{countedSince: now},
 	}
+	s.queue.onDrop = s.forgetDropped
+	return s
 }
 
 // Observe makes the sidecar call observe with each latency that it measures.
