Record a flow anew when its caller uses the port of an ended one

The record of the ended flow is kept for 3 s, longer if one direction has not ended. A new flow from the same port got that record: its requests were not tracked, so they took no slot, and admission did not see them.

--- a/flow/bookkeeping_test.go
+++ b/flow/bookkeeping_test.go
@@ -142,3 +142,37 @@
 		t.Errorf("got %d requests at the upstream, want 1", s.busy)
 	}
 }
+
+// A caller uses its port for a new flow soon after the former one has ended. The new flow's packets
+// reach the upstream, and its request is tracked.
+func TestReusedPortAfterEnd(t *testing.T) {
+	for name, ends := range map[string][]func(s *Sidecar, now time.Time){
+		"both ended": {callerEnds, func(s *Sidecar, now time.Time) { s.FromUpstream(fromUpstream(FlagEnd|FlagAck, 501, 0), now) }},
+		"reset":      {func(s *Sidecar, now time.Time) { s.FromUpstream(fromUpstream(FlagReset, 501, 0), now) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, now := testSidecar(t, time.Second)
+			openFlow(t, s, now)
+			for _, end := range ends {
+				end(s, now)
+			}
+			tp := openingTunnelPacket()
+			tp.Packet.Sequence = 70_000
+			wantVerdict(t, s.FromTunnel(tp, now), ActionUpstream, ReasonPlaced)
+			p := fromUpstream(FlagOpen|FlagAck, 900_000, 0)
+			p.Ack = 70_001
+			wantVerdict(t, s.FromUpstream(p, now), ActionCaller, ReasonKnown)
+			data := dataTunnelPacket(900_001)
+			data.Packet.Sequence = 70_001
+			wantVerdict(t, s.FromTunnel(data, now), ActionUpstream, ReasonKnown)
+			if s.busy != 1 {
+				t.Errorf("got %d requests at the upstream, want 1", s.busy)
+			}
+		})
+	}
+}
+
+// callerEnds passes the packet with which the caller ends the test flow to the sidecar.
+func callerEnds(s *Sidecar, now time.Time) {
+	s.FromTunnel(callerPacket(Packet{Flags: FlagEnd | FlagAck, Sequence: 101, Ack: 501}), now)
+}
--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -201,6 +201,12 @@
 	return ActionDrop
 }
 
+// replacedBy reports whether an opening packet is that of a new flow: the former one has ended, and its
+// caller uses the port again.
+func (f *flowState) replacedBy(p *Packet) bool {
+	return f.ended != 0 && (f.learned || f.opening.Packet.Sequence != p.Sequence)
+}
+
 // markOffered sets Offered for an opening packet of which the upstream, or the one before it, got an
 // earlier copy. The network may deliver a first transmission twice.
 func (s *Sidecar) markOffered(tp *TunnelPacket) {
@@ -229,7 +235,7 @@
 		return s.decline(tp, ReasonUpstreamClosed)
 	}
 	f, ok := s.flows[tp.Packet.Key]
-	delivered := ok && !f.lost
+	delivered := ok && !f.lost && !f.replacedBy(&tp.Packet)
 	if !delivered {
 		s.markOffered(tp)
 	}
