--- a/flow/admission.go
+++ b/flow/admission.go
@@ -25,7 +25,10 @@
 
 // EnableAdmission makes the sidecar refuse new flows whose first request can't be answered before its
 // caller gives up.
-func (s *Sidecar) EnableAdmission() { s.admission.enabled = true }
+func (s *Sidecar) EnableAdmission() {
+	s.admission.enabled = true
+	s.queue.requests.Admitted = true
+}
 
 // turnAway returns the decision about an opening packet that goes to a sibling or is refused because of
 // the upstream's load. It returns false if the upstream takes the flow.
--- a/flow/bookkeeping_test.go
+++ b/flow/bookkeeping_test.go
@@ -176,3 +176,11 @@
 func callerEnds(s *Sidecar, now time.Time) {
 	s.FromTunnel(callerPacket(Packet{Flags: FlagEnd | FlagAck, Sequence: 101, Ack: 501}), now)
 }
+
+// A sidecar that refuses flows orders its queue for bounded work, as the replays with admission do.
+func TestAdmissionOrdersQueue(t *testing.T) {
+	s, _ := testSidecar(t, time.Second)
+	if s.EnableAdmission(); !s.queue.requests.Admitted {
+		t.Error("the queue does not know that flows may be refused")
+	}
+}
