--- a/flow/admission.go
+++ b/flow/admission.go
@@ -52,6 +52,7 @@
 	if !s.admission.enabled || s.slots() == 0 {
 		return schedule.Admit
 	}
+	s.commitments.Expire(now) // admit expires them too, but is not called while flows are refused
 	o := s.newOpening(tp, now)
 	other := s.runningWork(now) + s.commitments.Ahead(o.Priority)
 	soon, all := s.queue.requests.Ahead(o.Priority, other, s.slots(), now)
--- a/flow/caller_packets.go
+++ b/flow/caller_packets.go
@@ -150,11 +150,13 @@
 	f.advance(p)
 	if p.Flags.Has(FlagEnd) {
 		f.ended |= callerEnded
+		s.commitments.Remove(p.Key)
 	}
 	if p.Flags.Has(FlagReset) {
 		f.ended = bothEnded
 		s.finishRequest(f)
 		s.dropQueued(p.Key, f)
+		s.commitments.Remove(p.Key)
 	}
 }
 
@@ -199,20 +201,44 @@
 	return ActionDrop
 }
 
+// replacedBy reports whether an opening packet is that of a new flow: the former one has ended, and its
+// caller uses the port again.
+func (f *flowState) replacedBy(p *Packet) bool {
+	return f.ended != 0 && (f.learned || f.opening.Packet.Sequence != p.Sequence)
+}
+
+// markOffered sets Offered for an opening packet of which the upstream, or the one before it, got an
+// earlier copy. The network may deliver a first transmission twice.
+func (s *Sidecar) markOffered(tp *TunnelPacket) {
+	f, ok := s.flows[tp.Packet.Key]
+	if ok && !f.learned && f.opening.Packet.Sequence == tp.Packet.Sequence {
+		tp.Offered = true
+	}
+}
+
+// decline returns the decision about an opening packet that the upstream must not get.
+func (s *Sidecar) decline(tp *TunnelPacket, reason Reason) SidecarVerdict {
+	s.markOffered(tp)
+	return forwardToSibling(tp, reason)
+}
+
 // open returns the decision about an opening packet.
 func (s *Sidecar) open(tp *TunnelPacket, now time.Time) SidecarVerdict {
 	if tp.Path.Tag != s.tag {
-		return forwardToSibling(tp, ReasonOtherService)
+		return s.decline(tp, ReasonOtherService)
 	}
 	switch s.State(now) {
 	case StateReady:
 	case StateEvacuated:
 		return s.openEvacuated(tp, now)
 	default:
-		return forwardToSibling(tp, ReasonUpstreamClosed)
+		return s.decline(tp, ReasonUpstreamClosed)
 	}
 	f, ok := s.flows[tp.Packet.Key]
-	delivered := ok && !f.lost
+	delivered := ok && !f.lost && !f.replacedBy(&tp.Packet)
+	if !delivered {
+		s.markOffered(tp)
+	}
 	s.warmup.learnRate(tp.Path.WarmupRate, now)
 	if s.warmupExhausted(now) {
 		if !delivered {
