An evacuation stays in force at a sidecar that leaves

A sidecar that was stopped in an evacuated failure domain, as the manual says, accepted streams and late starts of grants from siblings that did not know yet: leaving replaced the evacuation as the scheduler's reason to refuse.

--- a/sibling/evacuation_test.go
+++ b/sibling/evacuation_test.go
@@ -20,3 +20,15 @@
 		t.Errorf("got error %v, want %v", err, work.ErrEvacuated)
 	}
 }
+
+// The sidecar of an evacuated failure domain leaves: a sibling that does not know of either opens no
+// stream there.
+func TestStreamAtLeavingSidecarOfEvacuatedDomain(t *testing.T) {
+	slots := upstream.NewSlots(1)
+	srv := &Server{slots: slots}
+	slots.SetEvacuated(true)
+	slots.SetLeaving()
+	if err := srv.start(&work.Request{}, nil); !errors.Is(err, work.ErrEvacuated) {
+		t.Errorf("got error %v, want %v", err, work.ErrEvacuated)
+	}
+}
--- a/sibling/server.go
+++ b/sibling/server.go
@@ -27,7 +27,7 @@
 	Start(id string) error
 	Cancel(id string)
 	Load() work.Load
-	// Evacuated reports whether new requests are refused because the failure domain is evacuated.
+	// Evacuated reports whether the failure domain is evacuated, also if the sidecar is leaving.
 	Evacuated() bool
 }
 
--- a/upstream/slots.go
+++ b/upstream/slots.go
@@ -170,7 +170,7 @@
 	}
 }
 
-// Evacuated reports whether entries are refused because the failure domain is evacuated.
+// Evacuated reports whether the failure domain is evacuated.
 func (s *Slots) Evacuated() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/work/refusal_test.go
+++ b/work/refusal_test.go
@@ -39,3 +39,29 @@
 		t.Errorf("leaving: got error %v, want %v", err, ErrLeaving)
 	}
 }
+
+// A sidecar in an evacuated failure domain leaves. The evacuation stays in force: a request that was
+// granted a slot before it is not started late.
+func TestSchedulerEvacuatedAndLeaving(t *testing.T) {
+	now := time.Unix(0, 0)
+	for name, refuse := range map[string]func(s *Scheduler){
+		"evacuated first": func(s *Scheduler) { s.SetEvacuated(true); s.SetLeaving() },
+		"leaving first":   func(s *Scheduler) { s.SetLeaving(); s.SetEvacuated(true) },
+	} {
+		s := NewScheduler(1, now)
+		if err := s.Submit(now, QueueEntry{ID: "granted", Deadline: now.Add(time.Minute), Lease: time.Second}); err != nil {
+			t.Fatal(err)
+		}
+		s.Next(now)
+		refuse(s)
+		if !s.Evacuated() {
+			t.Errorf("%s: not evacuated", name)
+		}
+		if err := s.Start(now, "granted"); !errors.Is(err, ErrEvacuated) {
+			t.Errorf("%s: late start: got error %v, want %v", name, err, ErrEvacuated)
+		}
+		if err := s.Submit(now, QueueEntry{ID: "new", Deadline: now.Add(time.Minute)}); !errors.Is(err, ErrLeaving) {
+			t.Errorf("%s: new entry: got error %v, want %v", name, err, ErrLeaving)
+		}
+	}
+}
--- a/work/scheduler.go
+++ b/work/scheduler.go
@@ -86,7 +86,8 @@
 	lastSequence uint64
 	lastShort    time.Time                // arrival of the last short request
 	durations    map[string]time.Duration // moving average by route
-	refusal      error                    // what Submit returns: ErrLeaving, ErrEvacuated or nil
+	leaving      bool                     // the sidecar is leaving
+	evacuated    bool                     // the failure domain is evacuated
 	fifo         bool
 
 	busy       float64   // moving average of the share of granted slots
@@ -123,8 +124,8 @@
 // Submit adds an entry to the queue. If it returns an error, ErrLeaving, ErrEvacuated, ErrOverload
 // or ErrDeadline, the request is not run.
 func (s *Scheduler) Submit(now time.Time, e QueueEntry) error {
-	if s.refusal != nil {
-		return s.refusal
+	if err := s.refusal(); err != nil {
+		return err
 	}
 	if !e.Long {
 		s.lastShort = now
@@ -286,7 +287,7 @@
 		s.removeGrant(now, id)
 		return ErrLeaseLapsed
 	}
-	if errors.Is(s.refusal, ErrEvacuated) {
+	if s.evacuated {
 		s.removeGrant(now, id)
 		return ErrEvacuated
 	}
