--- a/service/check.go
+++ b/service/check.go
@@ -53,7 +53,7 @@
 	if r.Class == ClassFlow && r.Long {
 		w.addf(field+".long", "has no effect: streams of the class flow use no slot")
 	}
-	if r.Class != ClassFlow && r.Deadline > 0 && time.Duration(r.Deadline) < InitialDuration {
+	if r.Class != ClassFlow && r.Deadline > 0 && time.Duration(r.Deadline) <= InitialDuration {
 		w.addf(field+".deadline", "no request is run: each is expected to take %s until one has finished", InitialDuration)
 	}
 }
--- a/service/check_test.go
+++ b/service/check_test.go
@@ -44,3 +44,10 @@
 		}
 	}
 }
+
+// A request whose deadline is as long as it is expected to take is refused once any time has passed since
+// it arrived.
+func TestWarningOfDeadlineEqualToInitialDuration(t *testing.T) {
+	s := Service{Name: "a", Routes: Routes{{PathPrefix: "/", Class: ClassIdempotent, Deadline: Duration(InitialDuration)}}}
+	checkWarnings(t, s.Warnings(), []string{"[ /].deadline: no request"})
+}
