--- a/cmd/greengagedyke/check.go
+++ b/cmd/greengagedyke/check.go
@@ -79,12 +79,8 @@
 	}
 	var unknown error
 	if c.API != "" && !failed {
-		client, err := (&apiOptions{API: c.API, TokenFile: c.TokenFile}).client()
-		if err != nil {
-			return err
-		}
 		var unserved []service.FieldError
-		unserved, unknown = compare(client, wanted)
+		unserved, unknown = c.compare(wanted)
 		warnings = append(warnings, unserved...)
 	}
 	for i := range warnings {
@@ -131,7 +127,11 @@
 
 // compare prints what applying wanted would change at the balancer, and returns the warnings about
 // services that the sidecars known there do not serve.
-func compare(client *operator.Client, wanted *service.Configuration) ([]service.FieldError, error) {
+func (c *checkCommand) compare(wanted *service.Configuration) ([]service.FieldError, error) {
+	client, err := (&apiOptions{API: c.API, TokenFile: c.TokenFile}).client()
+	if err != nil {
+		return nil, err
+	}
 	current, err := client.Configuration(context.Background())
 	if err != nil {
 		return nil, err
