Reword comments, help texts and errors of evacuation and check

check prints the first error of each file, not all; a comment that calls a function log says that it counts; errors of declarations no longer name the command apply when check reads them. evacuate says what it does not concern.

--- a/caller/evacuation.go
+++ b/caller/evacuation.go
@@ -30,9 +30,9 @@
 	}
 }
 
-// log counts a refused connection or request, as what says, and logs it unless another one was logged
-// less than refusalLogInterval ago.
-func (r *refusals) log(log *slog.Logger, what string, n metrics.Counter) {
+// record counts a refusal in n, and logs it unless another one was logged less than refusalLogInterval
+// ago. what is "connection" or "request".
+func (r *refusals) record(log *slog.Logger, what string, n metrics.Counter) {
 	n.Inc(1)
 	if r.limit.Allow() {
 		log.Warn("refused", "what", what, "reason", work.ReasonEvacuated, "count", n.Count())
@@ -42,19 +42,19 @@
 // errEvacuated refuses a connection because the failure domain is evacuated.
 var errEvacuated = errors.New("caller: the failure domain is evacuated")
 
-// refuseIfEvacuated returns the function that QUIC calls for each new connection. The connection is
-// refused if the failure domain is evacuated, else it gets cfg.
+// refuseIfEvacuated returns the function that package quic calls for each new connection. It refuses the
+// connection if the failure domain is evacuated, else it returns cfg.
 func (s *Server) refuseIfEvacuated(cfg *quic.Config) func(*quic.ClientInfo) (*quic.Config, error) {
 	return func(*quic.ClientInfo) (*quic.Config, error) {
 		if s.Evacuated() {
-			s.refusals.log(s.Log, "connection", s.refusals.connections)
+			s.refusals.record(s.Log, "connection", s.refusals.connections)
 			return nil, errEvacuated
 		}
 		return cfg, nil
 	}
 }
 
-// countConnection counts an open connection until it is closed.
+// countConnection counts a connection as open until it is closed; it is an http3.Server.ConnContext.
 func (s *Server) countConnection(ctx context.Context, conn *quic.Conn) context.Context {
 	s.connections.Inc(1)
 	context.AfterFunc(conn.Context(), func() { s.connections.Dec(1) })
--- a/caller/request.go
+++ b/caller/request.go
@@ -49,7 +49,7 @@
 	sink := &responseSink{w: w}
 	outcome := s.Dispatcher.Dispatch(r.Context(), request, sink)
 	if outcome.Verdict == work.VerdictNotRun && outcome.Reason == work.ReasonEvacuated {
-		s.refusals.log(s.Log, "request", s.refusals.requests)
+		s.refusals.record(s.Log, "request", s.refusals.requests)
 	}
 	s.writeOutcome(w, sink, outcome)
 }
--- a/cmd/greengagedyke/apply.go
+++ b/cmd/greengagedyke/apply.go
@@ -79,7 +79,7 @@
 	if info, err := os.Stat(path); err == nil && info.IsDir() {
 		files, err = filepath.Glob(filepath.Join(path, "*.json"))
 		if err != nil {
-			return nil, errors.Wrap(err, "apply")
+			return nil, errors.Wrap(err, "declarations")
 		}
 	}
 	slices.Sort(files)
@@ -90,7 +90,7 @@
 func readDeclaration(file string) (*service.Service, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return nil, errors.Wrap(err, "apply")
+		return nil, errors.Wrap(err, "declarations")
 	}
 	s := &service.Service{}
 	if err := settings.Decode(file, data, s); err != nil {
--- a/cmd/greengagedyke/check.go
+++ b/cmd/greengagedyke/check.go
@@ -20,13 +20,14 @@
 file, the line and the field.
 
 With --file, checks the service declarations in a directory before they are
-applied: it prints all errors, and warnings of routes that never match, limits
-that no request can meet and settings without effect. With --api, it also prints
-services that no known sidecar may serve, and what apply would change.
+applied. It prints the first error of each file and the first conflict between
+files, and warns of routes that never match, deadlines that no request can meet
+and settings without effect. With --api, it also warns of services that no known
+sidecar may serve, and prints what apply would change.
 
 Exit codes: 0 if there are no errors (with --strict, no warnings either), 1 if
-there are, 2 on wrong usage, 3 if the declarations have no errors but the balancer
-of --api cannot be asked.`
+there are, 2 on wrong usage, 3 if there are none but the balancer of --api cannot
+be asked.`
 )
 
 // checkCommand validates a settings file of a balancer or sidecar that runs without --flows, or service
@@ -89,7 +90,8 @@
 	return c.result(failed, len(warnings), unknown)
 }
 
-// readAll reads the services declared in files and prints all errors. failed is set if there are any.
+// readAll reads the services declared in files. It prints the first error of each file and the first
+// conflict between them; failed is set if there are any.
 func readAll(files []string) (wanted *service.Configuration, failed bool) {
 	wanted = &service.Configuration{}
 	report := func(err error) {
@@ -117,7 +119,7 @@
 func (c *checkCommand) result(failed bool, warnings int, unknown error) error {
 	switch {
 	case failed || c.Strict && warnings > 0:
-		return errors.New("check: the declarations have faults")
+		return errors.New("check: there are errors, or with --strict warnings")
 	case unknown != nil:
 		return &unknownError{unknown}
 	}
--- a/cmd/greengagedyke/evacuate.go
+++ b/cmd/greengagedyke/evacuate.go
@@ -8,8 +8,10 @@
 const (
 	evacuateShort = "Empty a failure domain"
 	evacuateUsage = `Evacuates a failure domain: its sidecars get no new connections and run no new
-requests, until restore. Open connections, requests and feeds go on. It is an
-error if the failure domain is evacuated already.`
+requests, until restore. Open connections, requests and feeds go on. status
+shows on how many processes this is in force. It is an error if the failure
+domain is evacuated already. Processes that run with --flows are not concerned:
+their evacuations are keys in the platform's store.`
 	restoreShort = "End the evacuation of a failure domain"
 	restoreUsage = `Ends the evacuation of a failure domain: its sidecars get new work again. It is
 an error if the failure domain is not evacuated.`
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -75,8 +75,8 @@
 }
 
 // New returns a logger that writes JSON lines to w, and a function that writes the queued lines
-// and stops the writer goroutine, within flushTimeout. If lines were omitted, the next line has their number as the
-// attribute "omitted-lines".
+// and stops the writer goroutine; it returns after flushTimeout at the latest. If lines were omitted,
+// the next line has their number as the attribute "omitted-lines".
 func New(w io.Writer) (*slog.Logger, func()) {
 	var omitted atomic.Int64
 	writer := &asyncWriter{lines: make(chan []byte, maxQueuedLines), omitted: &omitted}
--- a/operator/api.go
+++ b/operator/api.go
@@ -165,9 +165,9 @@
 }
 
 // replaceConfiguration writes cfg to the store, with the current keys if cfg has none and with the
-// current evacuations, which declarations do not contain. It returns a
-// *platform.ConflictError if the current revision is not that of the If-Revision header of r, or
-// changes during the call. A header that is not a number is ignored.
+// current evacuations, which declarations do not contain. It returns a *platform.ConflictError if the
+// current revision is not that of the If-Revision header of r, or changes during the call. A header
+// that is not a number is ignored.
 func (a *API) replaceConfiguration(r *http.Request, cfg *service.Configuration) error {
 	stored, current, err := a.readCurrent(r.Context())
 	if err != nil {
--- a/operator/evacuation.go
+++ b/operator/evacuation.go
@@ -14,15 +14,15 @@
 	"greengagedyke/service"
 )
 
-// evacuationAttempts is how often the change of an evacuation is tried if other changes come first.
+// evacuationAttempts is how often a change is tried if other changes of the configuration come first.
 const evacuationAttempts = 3
 
 // evacuationRequest is the body of PUT /v1/evacuation.
 type evacuationRequest struct {
 	FailureDomain string `json:"failure-domain"`
-	// Evacuated is set to evacuate the failure domain, else it is restored.
+	// Evacuated is true to evacuate the failure domain, false to restore it.
 	Evacuated bool `json:"evacuated"`
-	// Force allows to evacuate a failure domain that no known process is in.
+	// Force allows the evacuation of a failure domain that no known process is in.
 	Force bool `json:"force,omitempty"`
 }
 
@@ -52,7 +52,7 @@
 }
 
 // writeEvacuation applies a request to the current configuration and writes the result to the store.
-// If another change comes first, it starts again from that one: the two do not contradict each other.
+// If another change comes first, it starts again from the configuration that this one led to.
 func (a *API) writeEvacuation(ctx context.Context, request *evacuationRequest) (*service.Configuration, error) {
 	var err error
 	for range evacuationAttempts {
--- a/quiclb/refusal.go
+++ b/quiclb/refusal.go
@@ -44,7 +44,7 @@
 		return nil, ErrNotRefusable
 	}
 	payload := []byte{0x1c, connectionRefused, 0, 0} // CONNECTION_CLOSE without frame type and reason
-	packet := []byte{longHeaderBit | fixedBit | packetNumberLen - 1}
+	packet := []byte{longHeaderBit | fixedBit | (packetNumberLen - 1)}
 	packet = binary.BigEndian.AppendUint32(packet, version1)
 	packet = append(append(packet, byte(len(source))), source...)
 	packet = append(append(packet, byte(len(h.ConnectionID))), h.ConnectionID...)
--- a/service/check.go
+++ b/service/check.go
@@ -42,7 +42,7 @@
 	return (r.Method == "" || r.Method == o.Method) && strings.HasPrefix(o.PathPrefix, r.PathPrefix)
 }
 
-// warn adds the warnings about a single route.
+// warn adds the warnings about the route alone to w. field names the route.
 func (r *Route) warn(w *warnings, field string) {
 	if r.Method != strings.ToUpper(r.Method) || strings.ContainsAny(r.Method, " \t,;/") {
 		w.addf(field+".method", "never matches: methods are compared as they are sent, such as GET")
@@ -54,7 +54,7 @@
 		w.addf(field+".long", "has no effect: streams of the class flow use no slot")
 	}
 	if r.Class != ClassFlow && r.Deadline > 0 && time.Duration(r.Deadline) <= InitialDuration {
-		w.addf(field+".deadline", "no request is run: each is expected to take %s until one has finished", InitialDuration)
+		w.addf(field+".deadline", "no request is run: a request is expected to take %s until the first one has finished", InitialDuration)
 	}
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -66,7 +66,7 @@
 	return &Stream{conn: conn, r: bufio.NewReaderSize(conn, readBuffer), mux: mux, waiting: waiting}
 }
 
-// SendContext is Send, which it ends when ctx ends. The stream can then only be closed.
+// SendContext is like Send but fails when ctx ends. The stream can then only be closed.
 func (s *Stream) SendContext(ctx context.Context, m proto.Message) error {
 	stop := context.AfterFunc(ctx, func() { s.conn.SetWriteDeadline(time.Unix(1, 0)) })
 	defer stop()
@@ -161,8 +161,8 @@
 	return n, err
 }
 
-// pingWhenSilent pings the session mux whenever calls send or wait for answers and nothing was received on
-// conn for pingAfter. It closes a session that does not answer, which ends all its calls: an open
+// pingWhenSilent pings the session mux whenever calls send or wait for answers and nothing was received
+// on conn for pingAfter. It closes a session that does not answer, which ends all its calls: an open
 // connection can stop passing data for good while new ones work.
 func pingWhenSilent(conn *muxConn, mux *yamux.Session) {
 	t := time.NewTicker(pingAfter)
--- a/sibling/server.go
+++ b/sibling/server.go
@@ -229,7 +229,7 @@
 }
 
 // runGranted waits for the start of a granted offer and runs the request. slots is nil for a flow,
-// which needs no slot. The start may come long after the grant, when the failure domain is evacuated.
+// which needs no slot. If the failure domain was evacuated since the grant, the start is refused.
 func (srv *Server) runGranted(ctx context.Context, s *session.Stream, r *work.Request, started <-chan *Start, slots Slots) {
 	select {
 	case start := <-started:
--- a/sidecar/acquire.go
+++ b/sidecar/acquire.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// firstError returns the error of a search that finds no sidecar to make an offer to.
+// firstError returns the error of a search that makes no offer because there is no sidecar for one.
 func (s *slotSearch) firstError() error {
 	if err := s.refusal(); errors.Is(err, work.ErrEvacuated) {
 		return err
--- a/sidecar/evacuation.go
+++ b/sidecar/evacuation.go
@@ -7,8 +7,8 @@
 	"greengagedyke/work"
 )
 
-// evacuatedRetryAfter is when callers may repeat a request that no sidecar took because all failure
-// domains of the service are evacuated.
+// evacuatedRetryAfter is how long callers are told to wait before they repeat a request that was
+// refused because all failure domains of the service are evacuated.
 const evacuatedRetryAfter = 5 * time.Second
 
 // refusal returns why this sidecar takes no new work: work.ErrLeaving, work.ErrEvacuated or, if it
