--- a/flow/admission.go
+++ b/flow/admission.go
@@ -34,6 +34,7 @@
 // turnAway returns the decision about an opening packet that goes to a sibling or is refused because of
 // the upstream's load. It returns false if the upstream takes the flow.
 func (s *Sidecar) turnAway(tp *TunnelPacket, now time.Time) (SidecarVerdict, bool) {
+	s.commitments.Expire(now) // admit expires them too, but is not called while flows are refused
 	decision := s.decideAdmission(tp, now)
 	refused := decision == schedule.Refuse || decision == schedule.RefuseLate
 	switch {
@@ -52,7 +53,6 @@
 	if !s.admission.enabled || s.slots() == 0 {
 		return schedule.Admit
 	}
-	s.commitments.Expire(now) // admit expires them too, but is not called while flows are refused
 	o := s.newOpening(tp, now)
 	other := s.runningWork(now) + s.commitments.Ahead(o.Priority)
 	soon, all := s.queue.requests.Ahead(o.Priority, other, s.slots(), now)
