--- a/flow/paces.go
+++ b/flow/paces.go
@@ -7,7 +7,7 @@
 
 const (
 	// paceInterval is the time between comparisons of the upstreams of a service.
-	paceInterval = time.Second
+	paceInterval = 250 * time.Millisecond
 	// minCompared is the smallest number of upstreams that are compared.
 	minCompared = 4
 	// The upstreams of a service differ in pace once a slow one, at four fifths of all, takes unevenRatio
