--- a/flow/admission.go
+++ b/flow/admission.go
@@ -26,7 +26,8 @@
 // EnableAdmission makes the sidecar refuse new flows whose first request can't be answered before its
 // caller gives up.
 func (s *Sidecar) EnableAdmission() {
-	s.admission = admission{enabled: true, rules: schedule.Admission{RefuseLate: true}}
+	s.admission.enabled = true
+	// Admission bounds the queued work, so late requests need not wait for those that can be in time.
 	s.queue.requests.Admitted = true
 }
 
@@ -51,6 +52,7 @@
 	if !s.admission.enabled || s.slots() == 0 {
 		return schedule.Admit
 	}
+	s.commitments.Expire(now) // admit expires them too, but is not called while flows are refused
 	o := s.newOpening(tp, now)
 	other := s.runningWork(now) + s.commitments.Ahead(o.Priority)
 	soon, all := s.queue.requests.Ahead(o.Priority, other, s.slots(), now)
--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -177,6 +177,7 @@
 	// placement says how new flows are placed, and otherDomainTime how much sooner a member of another
 	// failure domain has to answer.
 	placement       Placement
+	paces           map[Tag]*paceComparison
 	otherDomainTime time.Duration
 	// cfg is the configuration in force; its version is 0 before there is one.
 	cfg *Configuration
@@ -238,6 +239,7 @@
 		locations:  newLocationCache(),
 
 		placementRankings: map[Tag]*ranking{},
+		paces:             map[Tag]*paceComparison{},
 
 		lookups:    map[Key]*lookup{},
 		queries:    map[uint32]*pendingQuery{},
@@ -285,11 +287,13 @@
 	if ok && m.Load.Incarnation != l.Incarnation {
 		m.recordFormer(m.Load.Incarnation)
 	}
-	rankingChanged := !ok || m.Load.Tag != l.Tag
-	changed := rankingChanged || m.Load.State != l.State
-	if rankingChanged {
+	serviceChanged := !ok || m.Load.Tag != l.Tag
+	changed := serviceChanged || m.Load.State != l.State
+	if serviceChanged || m.Load.DomainID != l.DomainID {
 		b.dropRankings(m.Load.Tag)
 		b.dropRankings(l.Tag)
+	}
+	if serviceChanged {
 		m.outlier = outlier.Member{}
 	}
 	m.recordWork(&l)
@@ -305,6 +309,7 @@
 		delete(b.awaited, from)
 	}
 	b.updateOutliers(m, now)
+	b.comparePaces(l.Tag, now)
 	return changed
 }
 
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -234,8 +234,6 @@
 	// running tracks the requests that the upstream has, and pace how long it takes for requests.
 	running running
 	pace    *pace.Estimator
-	// placement decides when opening packets go to siblings.
-	placement Placement
 	// pendingOpenings is the number of flows with pending set.
 	pendingOpenings int
 	// busy is the number of flows with awaitingAnswer set. Unlike Load.Busy, it does not include
@@ -257,7 +255,7 @@
 // NewSidecar returns a sidecar for the upstream of a service. The sidecar starts at now, on a
 // monotonic clock. Flows without a packet for idleTimeout are removed.
 func NewSidecar(monitor *HeartbeatMonitor, service string, idleTimeout time.Duration, now time.Time) *Sidecar {
-	return &Sidecar{
+	s := &Sidecar{
 		monitor:     monitor,
 		tag:         TagOf(service),
 		started:     now,
@@ -268,6 +266,8 @@
 		idleTimeout: idleTimeout,
 		warmup:      warmupLimit{countedSince: now},
 	}
+	s.queue.onDrop = s.forgetDropped
+	return s
 }
 
 // Observe makes the sidecar call observe with each latency that it measures.
