--- a/operator/evacuation.go
+++ b/operator/evacuation.go
@@ -20,8 +20,8 @@
 // evacuationRequest is the body of PUT /v1/evacuation.
 type evacuationRequest struct {
 	FailureDomain string `json:"failure-domain"`
-	// Evacuated is true to evacuate the failure domain, false to restore it.
-	Evacuated bool `json:"evacuated"`
+	// Evacuated is true to evacuate the failure domain, false to restore it. It is required.
+	Evacuated *bool `json:"evacuated"`
 	// Force allows the evacuation of a failure domain that no known process is in.
 	Force bool `json:"force,omitempty"`
 }
@@ -35,7 +35,11 @@
 		a.writeError(w, &service.FieldError{Resource: "evacuation", Field: "body", Problem: err.Error()})
 		return
 	}
-	if request.Evacuated && !request.Force {
+	if request.Evacuated == nil {
+		a.writeError(w, &service.FieldError{Resource: "evacuation", Field: "evacuated", Problem: "must be true or false"})
+		return
+	}
+	if *request.Evacuated && !request.Force {
 		if err := service.CheckDomain(request.FailureDomain, a.knownDomains()); err != nil {
 			a.writeError(w, err)
 			return
@@ -46,7 +50,7 @@
 		a.writeError(w, err)
 		return
 	}
-	a.log.Info("evacuation-accepted", "failure-domain", request.FailureDomain, "evacuated", request.Evacuated, "revision", cfg.Revision)
+	a.log.Info("evacuation-accepted", "failure-domain", request.FailureDomain, "evacuated", *request.Evacuated, "revision", cfg.Revision)
 	a.node.Adopt(cfg)
 	writeJSON(w, applyResponse{Revision: cfg.Revision})
 }
@@ -80,7 +84,7 @@
 // or the result is invalid.
 func (r *evacuationRequest) apply(cfg *service.Configuration) error {
 	change := cfg.Restore
-	if r.Evacuated {
+	if *r.Evacuated {
 		change = cfg.Evacuate
 	}
 	if err := change(r.FailureDomain); err != nil {
@@ -104,12 +108,12 @@
 // Evacuate evacuates a failure domain and returns the new revision. With force set, no process has to
 // be in it.
 func (c *Client) Evacuate(ctx context.Context, domain string, force bool) (uint64, error) {
-	return c.changeEvacuation(ctx, evacuationRequest{FailureDomain: domain, Evacuated: true, Force: force})
+	return c.changeEvacuation(ctx, evacuationRequest{FailureDomain: domain, Evacuated: new(true), Force: force})
 }
 
 // Restore ends the evacuation of a failure domain and returns the new revision.
 func (c *Client) Restore(ctx context.Context, domain string) (uint64, error) {
-	return c.changeEvacuation(ctx, evacuationRequest{FailureDomain: domain})
+	return c.changeEvacuation(ctx, evacuationRequest{FailureDomain: domain, Evacuated: new(false)})
 }
 
 func (c *Client) changeEvacuation(ctx context.Context, request evacuationRequest) (uint64, error) {
--- a/operator/evacuation_test.go
+++ b/operator/evacuation_test.go
@@ -47,3 +47,22 @@
 		t.Errorf("restore after two other changes: got %+v, error %v, want only b evacuated", m.cfg, err)
 	}
 }
+
+// A request that does not say whether the failure domain is to be evacuated or restored changes nothing.
+func TestEvacuationRequestWithoutDirection(t *testing.T) {
+	m := &memoryStore{}
+	newClient, node := newAPIAndNode(t, m)
+	node.UpdateSelf(func(r *member.Record) { r.FailureDomain = "a" })
+	c, ctx := newClient("right"), t.Context()
+	if _, err := c.Evacuate(ctx, "a", false); err != nil {
+		t.Fatal(err)
+	}
+	err := c.call(ctx, http.MethodPut, "/v1/evacuation", nil, map[string]string{"failure-domain": "a"}, &applyResponse{})
+	var apiErr *APIError
+	if !errors.As(err, &apiErr) || apiErr.Status != http.StatusUnprocessableEntity {
+		t.Errorf("got error %v, want status 422", err)
+	}
+	if !slices.Equal(m.cfg.EvacuatedDomains, []string{"a"}) {
+		t.Errorf("got %v evacuated, want a", m.cfg.EvacuatedDomains)
+	}
+}
