Count repeated opening packets against the warm-up rate during an evacuation

Copies of an opening packet count; those that the upstream got while its failure domain was evacuated did not, so that the first second after it could exceed the rate.

--- a/flow/bookkeeping_test.go
+++ b/flow/bookkeeping_test.go
@@ -184,3 +184,20 @@
 		t.Error("the queue does not know that flows may be refused")
 	}
 }
+
+// In an evacuated domain the upstream gets a repeated opening packet. When the evacuation ends within a
+// second, that one counts against the warm-up rate.
+func TestRepeatedOpeningInEvacuationCounts(t *testing.T) {
+	s, now := warmingSidecar(t)
+	s.SetFailureDomain("a")
+	first := limitedOpening(0, 1)
+	wantVerdict(t, s.FromTunnel(first, now), ActionUpstream, ReasonPlaced)
+	p := fromUpstream(FlagOpen|FlagAck, 500, 0)
+	p.Key = keyOf(0)
+	s.FromUpstream(p, now)
+	now = now.Add(warmupWindow + time.Millisecond)
+	s.HandleEvacuations(evacuationsOf(2, "a"), now)
+	wantVerdict(t, s.FromTunnel(limitedOpening(0, 1), now), ActionUpstream, ReasonPlacedAgain)
+	s.HandleEvacuations(evacuationsOf(3), now)
+	wantVerdict(t, s.FromTunnel(limitedOpening(1, 1), now), ActionForward, ReasonWarmingUp)
+}
--- a/flow/sidecar_evacuation.go
+++ b/flow/sidecar_evacuation.go
@@ -45,6 +45,7 @@
 	f, ok := s.flows[tp.Packet.Key]
 	if ok && f.answered && !f.lost && f.repeatsOpening(&tp.Packet) {
 		f.lastUsed = now
+		s.warmup.record(now)
 		return SidecarVerdict{Action: ActionUpstream, Reason: ReasonPlacedAgain}
 	}
 	if ok && !f.answered {
