--- a/flow/bookkeeping_test.go
+++ b/flow/bookkeeping_test.go
@@ -201,3 +201,32 @@
 	s.HandleEvacuations(evacuationsOf(3), now)
 	wantVerdict(t, s.FromTunnel(limitedOpening(1, 1), now), ActionForward, ReasonWarmingUp)
 }
+
+// One of three flows with requests at an upstream with two slots is reset. The request
+// that waited has its slot from then on, and the time that it takes is counted from then.
+func TestFreedSlotIsTakenAtOnce(t *testing.T) {
+	for name, reset := range map[string]func(s *Sidecar, now time.Time){
+		"by the caller": func(s *Sidecar, now time.Time) {
+			tp := callerPacket(Packet{Flags: FlagReset | FlagAck, Sequence: 151, Ack: 501})
+			tp.Packet.Key = keyOf(0)
+			s.FromTunnel(tp, now)
+		},
+		"by the upstream": func(s *Sidecar, now time.Time) {
+			p := fromUpstream(FlagReset, 501, 0)
+			p.Key = keyOf(0)
+			s.FromUpstream(p, now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, now := testSidecar(t, time.Second)
+			for i := range 3 {
+				openAndRequest(t, s, i, now)
+			}
+			now = now.Add(10 * time.Millisecond)
+			reset(s, now)
+			if got := s.flows[keyOf(2)].slotSince; !got.Equal(now) {
+				t.Errorf("got %v, want %v", got, now)
+			}
+		})
+	}
+}
--- a/flow/upstream_packets.go
+++ b/flow/upstream_packets.go
@@ -70,6 +70,7 @@
 	if p.Flags.Has(FlagReset) {
 		f.ended = bothEnded
 		s.finishRequest(f)
+		s.running.start(s.slots(), now)
 		s.dropQueued(p.Key, f)
 		s.commitments.Remove(p.Key)
 	}
