Reword comments of placement, queue, admission and evacuation

Corrects what no longer fits the code (BalancerVerdict.Expected, EvacuatedDomains, the order of fallbacks), uses the field's terms (percentile, penalty, backlog), renames the tree's cheapest to firstVictim and maxEjected, a divisor, to ejectedDivisor.

--- a/balancer/flow_balancer.go
+++ b/balancer/flow_balancer.go
@@ -285,7 +285,8 @@
 	return now.Before(f.staleUntil)
 }
 
-// forward sends the packet b along a path. offered is that of flow.TunnelPacket; out is scratch space for the datagram.
+// forward sends the packet b along a path. offered is that of flow.TunnelPacket; out is scratch space
+// for the datagram.
 func (f *FlowBalancer) forward(p *flow.Path, b, out []byte, offered bool) {
 	out = peer.AppendPacket(out, p, 0, f.cfg.Tunnel, offered)
 	f.send(append(out, b...), p.To)
--- a/flow/admission.go
+++ b/flow/admission.go
@@ -14,9 +14,9 @@
 	refusalHops = 2
 )
 
-// admission decides which new flows the upstream gets by its load. It answers bursts and the return of
-// all callers after an outage: a caller whose request can't be answered in time is told at once, before
-// anything has run.
+// admission decides which new flows the upstream gets by its load. In a burst, or
+// when all callers return after an outage, a caller whose request can't be answered in time is told at
+// once, before anything has run.
 type admission struct {
 	// enabled is set if flows may be refused.
 	enabled bool
--- a/flow/balancer.go
+++ b/flow/balancer.go
@@ -37,8 +37,9 @@
 	// placement says how new flows are placed, and otherDomainTime how much sooner a member of another
 	// failure domain has to answer.
 	placement       Placement
-	paces           map[Tag]*paceComparison
 	otherDomainTime time.Duration
+	// paces says for each service whether its upstreams differ in pace; only PlaceAdaptively uses it.
+	paces map[Tag]*paceComparison
 	// cfg is the configuration in force; its version is 0 before there is one.
 	cfg *Configuration
 	// members holds the sidecars that report to this balancer, by address.
--- a/flow/balancer_evacuation.go
+++ b/flow/balancer_evacuation.go
@@ -29,8 +29,8 @@
 // value if no process is known to have had an evacuated domain.
 func (b *Balancer) Evacuations() Evacuations { return b.evacuations.sharedEvacuations() }
 
-// EvacuatedDomains returns the number of evacuated domains, and the number of flows that the members in
-// each of them track.
+// EvacuatedDomains returns the number of flows in each evacuated domain, by the domain's ID, as the
+// members there report; nil if no domain is evacuated.
 func (b *Balancer) EvacuatedDomains() map[uint32]int {
 	if len(b.evacuations.evacuated) == 0 {
 		return nil
--- a/flow/balancer_test.go
+++ b/flow/balancer_test.go
@@ -180,7 +180,8 @@
 }
 
 // Whatever messages a balancer receives, it sends packets only to members, new flows only to ready
-// members of the route's service outside of evacuated failure domains, and flows that a running sidecar confirmed only to that sidecar.
+// members of the route's service outside of evacuated failure domains, and flows that a running sidecar
+// confirmed only to that sidecar.
 func TestBalancerInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(100, 0)
--- a/flow/evacuation.go
+++ b/flow/evacuation.go
@@ -62,9 +62,9 @@
 // Empty reports whether nothing has changed.
 func (c *EvacuationChange) Empty() bool { return len(c.Evacuated)+len(c.Restored)+c.Held == 0 }
 
-// evacuationTracker holds the evacuations that a process knows. It answers the load pattern of a
-// failure domain that is emptied before maintenance while messages about it are lost, late and
-// reordered, and the store may be away or restored. The zero value knows none.
+// evacuationTracker holds the evacuations that a process knows. Messages about them may be
+// lost, late or reordered, and the store may be unreachable or restored from an older copy. The zero
+// value knows none.
 type evacuationTracker struct {
 	newest Evacuations
 	// heldUntil has the domains of the former era that are not in newest, until EvacuationHold.
--- a/flow/expected_time.go
+++ b/flow/expected_time.go
@@ -11,8 +11,9 @@
 const (
 	// PlaceByRequests chooses the sidecar with the fewest requests and flows per slot.
 	PlaceByRequests Placement = iota
-	// PlaceByExpectedTime chooses the sidecar that is expected to answer first. It answers loads in
-	// which requests that look alike cost different amounts of work, and upstreams of unequal pace.
+	// PlaceByExpectedTime chooses the sidecar that is expected to answer first. It is meant
+	// for requests that look alike and cost different amounts of work, and for upstreams of unequal
+	// pace.
 	PlaceByExpectedTime
 	// PlaceAdaptively is PlaceByExpectedTime for services whose upstreams differ in pace, and
 	// PlaceByRequests for others.
@@ -48,13 +49,13 @@
 	// waitLimit is how long a request may wait for a slot before its flow goes to a sibling, as a
 	// multiple of the time that a request takes.
 	waitLimit = 2.5
-	// forwardRatio is how much longer than here the answer of a sibling may be expected to take, as of its
-	// last report, for a flow to be forwarded there.
+	// forwardRatio bounds the time to an answer that is expected at a sibling, as a multiple of the time
+	// expected here, for a flow to be forwarded there. The sibling's time is that of its last report.
 	forwardRatio = 2
 )
 
 // SetPlacement changes how new flows are placed. otherDomainTime is how much sooner a member of another
-// failure domain has to answer; only PlaceByExpectedTime uses it.
+// failure domain has to answer; only placement by expected time uses it.
 func (b *Balancer) SetPlacement(p Placement, otherDomainTime time.Duration) {
 	b.placement = p
 	b.otherDomainTime = otherDomainTime
@@ -87,8 +88,8 @@
 }
 
 // expectedTime returns how long a caller is expected to wait for the answer to a request of a route
-// that is sent to the member now, with the prices of other reasons to avoid the member. The other
-// balancers are expected to have sent it as much work as this one since it reported.
+// that is sent to the member now, plus a penalty for each other reason to avoid the member. The
+// other balancers are expected to have sent it as much work as this one since it reported.
 func (b *Balancer) expectedTime(m *Member, id RouteID, now time.Time) time.Duration {
 	sent := time.Duration(1+len(b.peers)) * m.sentWork
 	return b.reportedTime(m, id, now) + sent/time.Duration(max(1, m.Load.Slots))
@@ -126,10 +127,10 @@
 	return *n <= candidateLimit
 }
 
-// orderFallbacks sorts the first n fallbacks of a path by their reported times to an answer, and adds these
-// times, so that a sidecar that has too much work sends the flow on only if a sibling is quicker. What was
-// sent since the reports is left out: it is known for this balancer alone, and an estimate that is too high
-// keeps flows at the sidecar that has too much work.
+// orderFallbacks sorts the first n fallbacks of a path by their expected times to an answer, and adds the
+// reported times, so that a sidecar that has too much work sends the flow on only if a sibling is quicker.
+// Reported times leave out what was sent since the reports: a balancer knows that of itself alone, and an
+// estimate that is too high keeps flows at the sidecar that has too much work.
 func (b *Balancer) orderFallbacks(path *Path, n int, id RouteID, now time.Time) {
 	addrs, times := path.Fallbacks[:n], path.FallbackTimes[:n]
 	var order [RankingDepth]time.Duration
@@ -144,8 +145,9 @@
 	}
 }
 
-// waitsTooLong reports whether the first request of a new flow is expected to wait for a slot for so long
-// that the next fallback, whose answer is expected after next, is quicker. The balancer's choice rests on a report; this decision does not.
+// waitsTooLong reports whether the first request of a new flow is expected to wait for a slot for so
+// long that the next fallback, whose answer is expected after next, is quicker. It uses the sidecar's
+// present work, while the balancer chose by a report.
 func (s *Sidecar) waitsTooLong(tp *TunnelPacket, next time.Duration, now time.Time) bool {
 	slots := max(1, s.slots())
 	if s.outstanding()+s.commitments.Len() < slots {
--- a/flow/expected_time_test.go
+++ b/flow/expected_time_test.go
@@ -297,7 +297,7 @@
 	}
 }
 
-// A cheap request goes to an idle slow upstream, a dear one waits for a busy fast one.
+// A cheap request goes to an idle slow upstream, an expensive one waits for a busy fast one.
 func TestCheapAndDearRequests(t *testing.T) {
 	now := time.Unix(100, 0)
 	b := testBalancer(0, now)
--- a/flow/paces.go
+++ b/flow/paces.go
@@ -10,8 +10,8 @@
 	paceInterval = time.Second
 	// minCompared is the smallest number of upstreams that are compared.
 	minCompared = 4
-	// The upstreams of a service differ in pace once a slow one, at four fifths of all, takes unevenRatio
-	// times as long for a request as a fast one, at one fifth; until the ratio falls below evenRatio.
+	// The upstreams of a service differ in pace once the 80th percentile of their service times is
+	// unevenRatio times the 20th, until it is less than evenRatio times the 20th.
 	unevenRatio = 1.6
 	evenRatio   = 1.3
 )
--- a/flow/verdict.go
+++ b/flow/verdict.go
@@ -79,8 +79,8 @@
 	ReasonTooManyLookups
 	// ReasonWarmingUp: the upstream is warming up and gets no more new flows at the moment.
 	ReasonWarmingUp
-	// ReasonEvacuated: the failure domain is evacuated, or no sidecar of the service outside of evacuated
-	// failure domains accepts new flows.
+	// ReasonEvacuated: the failure domain is evacuated, or only sidecars in evacuated failure domains
+	// could take the flow.
 	ReasonEvacuated
 	// ReasonOverload: the first request of the flow could not be answered before its caller gives up.
 	ReasonOverload
@@ -94,7 +94,8 @@
 func (r Reason) String() string {
 	names := [...]string{
 		"none", "no-route", "no-upstream", "placed", "placed-again", "known", "search", "unknown-flow",
-		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost", "queued", "lost", "stale", "too-many-lookups", "warming-up", "evacuated", "overload",
+		"upstream-closed", "upstream-busy", "bounced", "unanswered", "other-service", "not-ours", "probe", "upstream-lost",
+		"queued", "lost", "stale", "too-many-lookups", "warming-up", "evacuated", "overload",
 	}
 	return names[r]
 }
@@ -134,8 +135,8 @@
 	Action Action
 	Reason Reason
 	Path   Path
-	// Expected is how long the answer to the first request of a new flow is expected to take; only set
-	// by PlaceByExpectedTime.
+	// Expected is how long the answer to the first request of a new flow is expected to take; 0 unless
+	// the flow was placed by expected time.
 	Expected time.Duration
 	// Buffer means that the packet has to be passed to BufferPacket, since its flow is being looked
 	// up.
--- a/outlier/member.go
+++ b/outlier/member.go
@@ -33,9 +33,9 @@
 	// long as the trial shows nothing.
 	trialFlows  = 2
 	trialPeriod = 2 * time.Second
-	// maxEjected is the panic threshold: one in maxEjected of the members that accept flows may be
-	// ejected at a time.
-	maxEjected = 3
+	// ejectedDivisor sets the panic threshold: the number of members that accept flows, divided by
+	// ejectedDivisor, may be ejected at a time.
+	ejectedDivisor = 3
 )
 
 // phase is a member's place in the cycle from ejection to readmission.
@@ -107,7 +107,7 @@
 // much of pauseSpread is added to pauses; it differs between balancers. Evaluate ejects a member that
 // has been clearly worse than the median for confirmAfter. After a pause, the member is readmitted if
 // its evidence is no worse than the median; without evidence it gets a few flows first. A service with
-// fewer than maxEjected members that accept flows keeps all, and so does one whose members all fail
+// fewer than ejectedDivisor members that accept flows keeps all, and so does one whose members all fail
 // alike. It has to be called some times a second.
 func Evaluate(members []*Member, spread float64, now time.Time) []Change {
 	median := medianOf(members)
@@ -125,7 +125,7 @@
 			ejected++
 		}
 	}
-	limit := accepting / maxEjected
+	limit := accepting / ejectedDivisor
 	if ejected > limit {
 		return append(changes, readmitSome(members, ejected-limit, median, now)...)
 	}
--- a/outlier/replay_test.go
+++ b/outlier/replay_test.go
@@ -215,7 +215,7 @@
 					t.Fatal("a member in full use is blocked")
 				}
 			}
-			if out > n/maxEjected {
+			if out > n/ejectedDivisor {
 				t.Fatalf("%d of %d members are ejected", out, n)
 			}
 		}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -1,6 +1,6 @@
 // Package pace learns how long an upstream is likely to take for a request, from the route of the
-// request, the size of what the caller sent, and how long such requests took before. It answers loads
-// in which requests that look alike cost very different amounts of work, and upstreams of unequal
+// request, the size of what the caller sent, and how long such requests took before. It is meant
+// for requests that look alike and cost very different amounts of work, and for upstreams of unequal
 // pace. It does no I/O and reads no clock.
 package pace
 
--- a/schedule/commitments.go
+++ b/schedule/commitments.go
@@ -9,8 +9,8 @@
 // The zero value is ready for use. It is not safe for concurrent use.
 type Commitments[K comparable] struct {
 	byKey map[K]commitment
-	// order has the keys by time; those before head, and those whose commitment is of another time, are
-	// out of date.
+	// order has the keys by time. Entries before head are outdated, and so are those whose key has no
+	// commitment of the same time.
 	order []commitmentTime[K]
 	head  int
 	work  [Levels]time.Duration
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -49,15 +49,16 @@
 	lateAt, start time.Duration
 }
 
-// Queue orders the requests that wait for an upstream. It is made for overload: a burst that lasts a
-// few seconds, or the arrears of a standstill, which return at once.
+// Queue orders the requests that wait for an upstream. It is meant for overload: a burst that lasts a
+// few seconds, or the backlog after an outage, when all callers return at once.
 //
 // Requests that can still meet their latency target go first, by priority and then the time left.
 // But a late request goes before those of the same and lower priorities when, of the late ones, one
 // would miss its deadline otherwise, and before those of higher priorities if they still are in time
-// after it. So nobody fails whom the slots suffice for, and as many as possible are in time. If the slots don't suffice, the late requests of the lowest priority are
-// given up, which are then served only if nothing else waits. When requests have been lost for as
-// long as a whole timeout, the overload isn't a burst; then late requests no longer make others late.
+// after it. So no request fails that the slots suffice for, and as many as possible are in time. If the
+// slots don't suffice, the late requests of the lowest priority are given up, which are then served
+// only if nothing else waits. When requests have been lost for as long as a whole timeout, the overload
+// isn't a burst; then late requests no longer make others late.
 //
 // Requests that can't be answered before their deadline any more are dropped. All operations take
 // logarithmic time, except for the first Pop with another number of slots.
--- a/schedule/tree.go
+++ b/schedule/tree.go
@@ -19,6 +19,7 @@
 // node is a request in a tree, with sums over the requests below it.
 type node struct {
 	left, right int32
+	// heap is random. A node's heap is at least those of its children, which keeps the tree balanced.
 	heap        uint32
 	level       uint8
 	start, cost time.Duration
@@ -26,9 +27,9 @@
 	work time.Duration
 	// slack is the least of start*slots less the costs of the requests before, in slot time.
 	slack time.Duration
-	// cheapest is the request that is given up first: that of the lowest priority, then the highest
+	// firstVictim is the request that is given up first: that of the lowest priority, then the highest
 	// cost.
-	cheapest int32
+	firstVictim int32
 }
 
 // random returns the next value of a xorshift generator.
@@ -112,26 +113,26 @@
 // update recomputes the sums of a node from those of its children.
 func (t *tree) update(i int32) {
 	n := &t.nodes[i]
-	n.work, n.cheapest = 0, i
+	n.work, n.firstVictim = 0, i
 	n.slack = n.start * t.slots
 	if n.left != none {
 		l := &t.nodes[n.left]
 		n.work = l.work
 		n.slack = min(l.slack, n.slack-l.work)
-		n.cheapest = t.cheaper(n.cheapest, l.cheapest)
+		n.firstVictim = t.earlierVictim(n.firstVictim, l.firstVictim)
 	}
 	n.work += n.cost
 	if n.right != none {
 		r := &t.nodes[n.right]
 		n.slack = min(n.slack, r.slack-n.work)
 		n.work += r.work
-		n.cheapest = t.cheaper(n.cheapest, r.cheapest)
+		n.firstVictim = t.earlierVictim(n.firstVictim, r.firstVictim)
 	}
 }
 
-// cheaper returns which of two requests is given up first. If neither costs more, it is the one that
+// earlierVictim returns which of two requests is given up first. If neither costs more, it is the one that
 // would be served first, since giving it up gives time to all others.
-func (t *tree) cheaper(a, b int32) int32 {
+func (t *tree) earlierVictim(a, b int32) int32 {
 	if a == none {
 		return b
 	}
@@ -212,9 +213,9 @@
 				continue
 			}
 			ahead += l.work
-			best = t.cheaper(best, l.cheapest)
+			best = t.earlierVictim(best, l.firstVictim)
 		}
-		best = t.cheaper(best, i)
+		best = t.earlierVictim(best, i)
 		if n.start*t.slots-ahead < limit {
 			return best
 		}
