Metric upstream.running shows when an evacuated sidecar is empty

The manual said that caller.open-requests falls to 0. It also counts requests that run at siblings, so it does not while callers stay connected, and no metric had the requests and feeds of callers that run on the upstream.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -180,6 +180,7 @@
 	s.applyEvacuations(s.node.Configuration())
 	client, closeClient := upstream.New(s.cfg.Upstream, s.slots)
 	s.upstream = client
+	metrics.NewRegisteredFunctionalGauge("upstream.running", s.registry, client.Running)
 	s.siblings = newSiblings(s.log, self, s.credentials)
 	s.dispatcher = s.newDispatcher(self)
 	s.ids = newConnectionIDs(s.cfg.Tunnel, local, keySet.Codec)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,8 @@
 	pooled    *http.Transport // reuses connections, for idempotent requests and health checks
 	singleUse *http.Transport // opens a connection for each request
 	slots     *Slots
+	// running is the number of requests and streams that run.
+	running atomic.Int64
 
 	mu     sync.Mutex
 	ledger *work.Ledger
@@ -78,6 +81,8 @@
 // Run runs a request and streams the response into sink. Unless the route's class is flow, the
 // request's slot must have been started; it is freed as soon as the upstream is done.
 func (c *Client) Run(ctx context.Context, r *work.Request, sink work.ResponseSink) work.Outcome {
+	c.running.Add(1)
+	defer c.running.Add(-1)
 	defer c.slots.Release(r.SlotID)
 	ctx, cancel := c.runContext(ctx, r)
 	defer cancel()
@@ -93,6 +98,10 @@
 	return outcome
 }
 
+// Running returns the number of requests and streams that run on the upstream, those of siblings
+// included.
+func (c *Client) Running() int64 { return c.running.Load() }
+
 // notRunReason returns the reason for which the ledger refused a request.
 func notRunReason(err error) string {
 	if errors.Is(err, work.ErrLedgerFull) {
