Give opening packets from a reused port fallbacks

The sidecar of the former flow was the only one on the path: if it refused the new flow, or its upstream returned the packet, the caller was reset though siblings had room.

--- a/flow/balancer_evacuation.go
+++ b/flow/balancer_evacuation.go
@@ -107,16 +107,17 @@
 	return ReasonNoUpstream
 }
 
-// forwardKnownOpening forwards the opening packet of a flow that a sidecar has confirmed. In an
-// evacuated domain, only the sidecar can tell whether the packet repeats that of the open flow, so the
-// packet also has the path of a new flow.
+// forwardKnownOpening forwards the opening packet of a flow that a sidecar has confirmed. Only the
+// sidecar can tell whether the packet repeats that of the open flow or the caller uses its port again, so
+// the packet also has the path of a new flow. It has none if the sidecar accepts no new flows, unless
+// that is for an evacuation: a sidecar that is leaving sends repeated packets to siblings, too.
 func (b *Balancer) forwardKnownOpening(p *Packet, loc location, route *Route, hash uint64, now time.Time) BalancerVerdict {
 	v := b.forwardKnown(p, loc, route, now)
 	if service := route.PickService(hash); service != nil {
 		v.Path.WarmupRate = service.WarmupRate
 	}
 	m := b.members[loc.addr]
-	if !b.evacuations.evacuated[m.Load.DomainID] {
+	if !b.evacuations.evacuated[m.Load.DomainID] && !m.acceptsFlows(now) {
 		return v
 	}
 	if r := b.placementRanking(m.Load.Tag); r != nil {
--- a/flow/bookkeeping_test.go
+++ b/flow/bookkeeping_test.go
@@ -230,3 +230,22 @@
 		})
 	}
 }
+
+// A caller uses its port for a new flow after the former one, whose sidecar refuses flows by now. The
+// packet has fallbacks, so a sibling may take the flow. If the sidecar takes no new flows at all, the packet
+// can only repeat that of the open flow, and no sibling may open it a second time.
+func TestReusedPortHasFallbacks(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := testBalancer(8, now)
+	b.HandleFlowHeld(testKey, memberAddr(0), now)
+	if v := b.Decide(openingPacket(0), now); v.Path.To != memberAddr(0) || v.Path.FallbackCount != 7 {
+		t.Errorf("got %v with %d fallbacks, want the sidecar of the flow and the 7 others", v.Path.To, v.Path.FallbackCount)
+	}
+	l := b.members[memberAddr(0)].Load
+	l.Sequence++
+	l.State = StateLeaving
+	b.HandleReport(memberAddr(0), l, now)
+	if v := b.Decide(openingPacket(0), now); v.Path.To != memberAddr(0) || v.Path.FallbackCount != 0 {
+		t.Errorf("got %v with %d fallbacks, want the sidecar of the flow alone", v.Path.To, v.Path.FallbackCount)
+	}
+}
