--- a/flow/paces.go
+++ b/flow/paces.go
@@ -8,6 +8,9 @@
 const (
 	// paceInterval is the time between comparisons of the upstreams of a service.
 	paceInterval = 250 * time.Millisecond
+	// paceLearningTime is how long after its start a balancer takes upstreams for uneven. After a loss of
+	// all power, the paces are not known yet when all callers return.
+	paceLearningTime = 3 * time.Second
 	// minCompared is the smallest number of upstreams that are compared.
 	minCompared = 4
 	// The upstreams of a service differ in pace once the 80th percentile of their service times is
@@ -28,13 +31,13 @@
 		return b.placement == PlaceByExpectedTime
 	}
 	c, ok := b.paces[tag]
-	return ok && c.uneven
+	return !ok || c.uneven
 }
 
 // comparePaces compares the upstreams of a service by the time that they take for a request, for
 // PlaceAdaptively.
 func (b *Balancer) comparePaces(tag Tag, now time.Time) {
-	if b.placement != PlaceAdaptively {
+	if b.placement != PlaceAdaptively || now.Sub(b.started) < paceLearningTime {
 		return
 	}
 	c, ok := b.paces[tag]
--- a/flow/paces_test.go
+++ b/flow/paces_test.go
@@ -12,6 +12,10 @@
 	b := NewBalancer("a", now)
 	b.SetPlacement(PlaceAdaptively, DefaultOtherDomainTime)
 	tag := TagOf(testServiceName)
+	if !b.placesByTime(tag) {
+		t.Error("by requests before the paces are known, want by time")
+	}
+	now = now.Add(paceLearningTime)
 	sequence := uint32(0)
 	for _, step := range []struct {
 		slow, fast time.Duration
