--- /dev/null
+++ b/review/rig2/judge.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+const timeFormat = "15:04:05.000"
+
+// The bounds of the rules, as the sheet of mcrs-kochi gives them.
+const (
+	stableWindow = 4 * time.Second
+	reorderTime  = 2 * time.Second
+	strayLimit   = 3
+)
+
+// stray is a span in which a flow's packets reached other backends only.
+type stray struct {
+	start time.Time
+	// packets is the number of packets in the first reorderTime of the span, which is over if long is set.
+	packets int
+	long    bool
+	others  map[string]bool
+}
+
+// judgeStrayed reports whether a flow is broken as FLOW (b) says: while its backend lives, with no
+// disruption on it in the last stableWindow, strayLimit of the flow's packets reach other backends within
+// reorderTime and none its own. The caller must have sent as many packets in that time.
+func (s *site) judgeStrayed(c *callers) bool {
+	opened := map[string]string{}
+	spans := map[string]*stray{}
+	strayed := map[string]*stray{}
+	for _, e := range s.allEvents() {
+		switch e.Kind {
+		case eventOpened:
+			opened[e.Flow] = e.Backend
+			delete(spans, e.Flow)
+		case eventOwn:
+			delete(spans, e.Flow)
+		case eventForeign:
+			sp := spans[e.Flow]
+			if sp == nil {
+				sp = &stray{start: e.At, others: map[string]bool{}}
+				spans[e.Flow] = sp
+			}
+			sp.long = e.At.Sub(sp.start) >= reorderTime
+			if !sp.long {
+				sp.packets++
+				sp.others[e.Backend] = true
+			}
+			if sp.long && strayed[e.Flow] == nil && opened[e.Flow] != "" {
+				strayed[e.Flow] = sp
+			}
+		}
+	}
+	broken := 0
+	for k, sp := range strayed {
+		own, until := s.backends[opened[k]], sp.start.Add(reorderTime)
+		sent := 0
+		if f := c.ended[k]; f != nil {
+			sent = f.sentBetween(sp.start, until)
+		}
+		undisturbed := sp.start.Sub(own.start) > stableWindow && (own.end.IsZero() || own.end.After(until))
+		fmt.Printf("%s flow %s is open at %s; for %v its caller sent %d packets; %d reached %v and none its own; its backend undisturbed: %v\n",
+			sp.start.Format(timeFormat), k, opened[k], reorderTime, sent, sp.packets, keys(sp.others), undisturbed)
+		if sent >= strayLimit && sp.packets >= strayLimit && undisturbed {
+			broken++
+		}
+	}
+	fmt.Println("flows that FLOW (b) counts:", broken)
+	return broken > 0
+}
+
+// keys returns the keys of a set.
+func keys(set map[string]bool) []string {
+	var list []string
+	for k := range set {
+		list = append(list, k)
+	}
+	return list
+}
+
+// sentBetween returns the number of packets that the caller sent in a span.
+func (f *callerFlow) sentBetween(start, end time.Time) int {
+	n := 0
+	for _, at := range f.sent {
+		if at.After(start) && at.Before(end) {
+			n++
+		}
+	}
+	return n
+}
