--- a/review/rig2/backend.go
+++ b/review/rig2/backend.go
@@ -30,6 +30,8 @@
 
 // The kinds of events.
 const (
+	// eventOpening: an opening packet has arrived.
+	eventOpening = "opening"
 	// eventOpened: the end of a flow's handshake has arrived.
 	eventOpened = "opened"
 	// eventOwn: a packet of a flow has arrived that the backend holds.
@@ -69,6 +71,7 @@
 	name, service, zone, app, outbound, control string
 	slots                                       int
 	beat, work                                  time.Duration
+	silent                                      bool
 }
 
 // parseBackendFlags parses the arguments of a backend.
@@ -84,6 +87,7 @@
 	fs.DurationVar(&f.beat, "beat", 770*time.Millisecond, "time between heartbeats")
 	fs.IntVar(&f.slots, "slots", 3, "requests at once")
 	fs.DurationVar(&f.work, "work", 5*time.Millisecond, "time for a request")
+	fs.BoolVar(&f.silent, "silent", false, "send no heartbeats")
 	return &f, fs.Parse(args)
 }
 
@@ -129,7 +133,9 @@
 	if err != nil {
 		return err
 	}
-	go b.sendHeartbeats(control, f.beat)
+	if !f.silent {
+		go b.sendHeartbeats(control, f.beat)
+	}
 	buf := make([]byte, 2048)
 	for {
 		n, _, err := b.conn.ReadFromUDPAddrPort(buf)
@@ -174,6 +180,7 @@
 	defer b.mu.Unlock()
 	f := b.flows[p.Key]
 	if p.Opening() {
+		b.emit(eventOpening, p.Key, "")
 		if f == nil {
 			f = &backendFlow{first: rand.Uint32(), expected: p.Sequence + 1}
 			f.next = f.first + 1
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -15,7 +15,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: rig2 backend|confirmed ...")
+		fmt.Fprintln(os.Stderr, "usage: rig2 backend|confirmed|late ...")
 		os.Exit(exitNotRun)
 	}
 	var err error
@@ -26,6 +26,8 @@
 		err = runBackend(os.Args[2:])
 	case "confirmed":
 		broken, err = runConfirmed()
+	case "late":
+		broken, err = runLate()
 	default:
 		err = fmt.Errorf("unknown command %q", os.Args[1])
 	}
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -40,6 +40,8 @@
 	mu        sync.Mutex
 	processes []*process
 	events    []event
+	// silent is the name of a backend that sends no heartbeats itself.
+	silent string
 	// backends has the start and the end of each backend; the end is zero while it runs.
 	backends map[string]*life
 }
@@ -246,7 +248,7 @@
 	s.backends[name] = &life{start: time.Now()}
 	s.mu.Unlock()
 	return s.start(name, nil, s.handleEvent, os.Args[0], "backend", "-name", name, "-service", service, "-zone", zone,
-		"-app", s.addr(host, s.ports.app), "-outbound", s.addr(host, s.ports.outbound), "-control", s.addr(host, s.ports.control))
+		fmt.Sprintf("-silent=%v", name == s.silent), "-app", s.addr(host, s.ports.app), "-outbound", s.addr(host, s.ports.outbound), "-control", s.addr(host, s.ports.control))
 }
 
 // killBackend kills a backend.
