--- a/review/rig2/caller.go
+++ b/review/rig2/caller.go
@@ -26,7 +26,9 @@
 	conn      *net.UDPConn
 	codec     platform.PacketCodec
 	balancers []netip.AddrPort
-	port      atomic.Uint32
+	// router selects the balancers if it is set; else a hash over all does.
+	router *router
+	port   atomic.Uint32
 	// users are the goroutines that use flows.
 	users sync.WaitGroup
 
@@ -87,6 +89,8 @@
 	key   flow.Key
 	in    chan received
 	reset bool
+	// resetAt is when the reset arrived.
+	resetAt time.Time
 
 	mu             sync.Mutex
 	opened         bool
@@ -114,6 +118,9 @@
 		f.expected = r.packet.Sequence + 1
 		f.sendLocked(flow.FlagAck, f.expected, "")
 	}
+	if r.packet.Flags.Has(flow.FlagReset) && f.resetAt.IsZero() {
+		f.resetAt = time.Now()
+	}
 	f.mu.Unlock()
 	select {
 	case f.in <- r:
@@ -135,6 +142,9 @@
 		f.sent = append(f.sent, time.Now())
 	}
 	to := f.c.balancers[f.key.Hash()%uint64(len(f.c.balancers))]
+	if f.c.router != nil {
+		to = f.c.router.route(f.key.String())
+	}
 	_, _ = f.c.conn.WriteToUDPAddrPort(f.c.codec.AppendPacket(nil, &p, []byte(data)), to)
 }
 
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -15,7 +15,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: rig2 backend|confirmed|late ...")
+		fmt.Fprintln(os.Stderr, "usage: rig2 backend|confirmed|late|named ...")
 		os.Exit(exitNotRun)
 	}
 	var err error
@@ -28,6 +28,8 @@
 		broken, err = runConfirmed()
 	case "late":
 		broken, err = runLate()
+	case "named":
+		broken, err = runNamed()
 	default:
 		err = fmt.Errorf("unknown command %q", os.Args[1])
 	}
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -39,7 +39,9 @@
 
 	mu        sync.Mutex
 	processes []*process
-	events    []event
+	// newest has the newest process of each name.
+	newest map[string]*process
+	events []event
 	// silent is the name of a backend that sends no heartbeats itself.
 	silent string
 	// backends has the start and the end of each backend; the end is zero while it runs.
@@ -86,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{dir: dir, zones: zones, backends: map[string]*life{}}
+	s := &site{dir: dir, zones: zones, backends: map[string]*life{}, newest: map[string]*process{}}
 	for range 50 {
 		s.prefix = fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), rand.IntN(250))
 		base := 20000 + rand.IntN(9000)
@@ -165,10 +167,18 @@
 	}()
 	s.mu.Lock()
 	s.processes = append(s.processes, p)
+	s.newest[name] = p
 	s.mu.Unlock()
 	return p, nil
 }
 
+// named returns the newest process of a name.
+func (s *site) named(name string) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest[name]
+}
+
 // stop ends all processes. It removes the folder unless RIG2_KEEP is set.
 func (s *site) stop() {
 	s.mu.Lock()
