--- a/review/rig2/confirmed.go
+++ b/review/rig2/confirmed.go
@@ -36,7 +36,7 @@
 		return false, err
 	}
 	defer s.stop()
-	service := netip.MustParseAddrPort("198.18.0.1:8443")
+	service := netip.MustParseAddrPort("127.198.18.1:8443")
 	names, backends, err := s.startAll(service, "registry-core")
 	if err != nil {
 		return false, err
@@ -59,7 +59,7 @@
 		}
 	}
 	c.users.Wait()
-	fmt.Println("requests:", c.outcomes)
+	s.printRequests(c)
 	return s.judgeStrayed(c), nil
 }
 
--- a/review/rig2/judge.go
+++ b/review/rig2/judge.go
@@ -90,3 +90,17 @@
 	}
 	return n
 }
+
+// printRequests writes how many requests were sent, how they ended, and how many the backends ran.
+func (s *site) printRequests(c *callers) {
+	sent, runs := 0, 0
+	for _, n := range c.outcomes {
+		sent += n
+	}
+	for _, e := range s.allEvents() {
+		if e.Kind == eventRun {
+			runs++
+		}
+	}
+	fmt.Printf("requests sent: %d, ends: %v, run by backends: %d\n", sent, c.outcomes, runs)
+}
--- a/review/rig2/late.go
+++ b/review/rig2/late.go
@@ -47,7 +47,7 @@
 		return false, err
 	}
 	defer s.stop()
-	service := netip.MustParseAddrPort("198.18.0.1:8443")
+	service := netip.MustParseAddrPort("127.198.18.1:8443")
 	s.silent = "backend-0"
 	_, backends, err := s.startAll(service, "rota-core")
 	if err != nil {
@@ -75,7 +75,7 @@
 	}
 	<-done
 	c.users.Wait()
-	fmt.Println("requests:", c.outcomes)
+	s.printRequests(c)
 	return l.judge(), nil
 }
 
--- a/review/rig2/named.go
+++ b/review/rig2/named.go
@@ -89,7 +89,7 @@
 		return false, err
 	}
 	defer s.stop()
-	address := netip.MustParseAddrPort("198.18.0.1:8443")
+	address := netip.MustParseAddrPort("127.198.18.1:8443")
 	if _, _, err := s.startAll(address, "registry-core"); err != nil {
 		return false, err
 	}
@@ -116,7 +116,7 @@
 		}()
 	}
 	c.users.Wait()
-	fmt.Println("requests:", c.outcomes)
+	s.printRequests(c)
 	return s.judgeResets(c), nil
 }
 
@@ -126,6 +126,7 @@
 	for range namedFlows {
 		f := c.newFlow(address)
 		if f.open() && f.do("first request on "+f.key.String()) {
+			c.count("answered", f)
 			flows = append(flows, f)
 		}
 		time.Sleep(openPause)
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -280,9 +281,11 @@
 	s.events = append(s.events, e)
 }
 
-// allEvents returns the events of all backends so far.
+// allEvents returns the events of all backends so far, in order of time.
 func (s *site) allEvents() []event {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]event{}, s.events...)
+	list := slices.Clone(s.events)
+	slices.SortStableFunc(list, func(a, b event) int { return a.At.Compare(b.At) })
+	return list
 }
