--- a/review/rig2/confirmed.go
+++ b/review/rig2/confirmed.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"os"
 	"time"
-
-	"greengagedyke/platform"
 )
 
 // The case's size: that of mcrs-kochi, with one of its services.
@@ -19,7 +17,7 @@
 // open flows at flowInterval, and at burstInterval for burstTime around each crash.
 const (
 	startTime     = 5 * time.Second
-	crashCount    = 15
+	crashCount    = 12
 	crashFor      = 300 * time.Millisecond
 	crashInterval = 5 * time.Second
 	flowInterval  = 10 * time.Millisecond
@@ -66,7 +64,7 @@
 // startAll starts the store, the balancers, and the sidecars with their backends. It returns the names and
 // processes of the backends.
 func (s *site) startAll(address netip.AddrPort, service string) (names []string, backends []*process, err error) {
-	if err := s.startStore(platform.ServiceRoute{Addr: address, Service: service}); err != nil {
+	if err := s.startStore(address, service); err != nil {
 		return nil, nil, err
 	}
 	for i := range balancerCount {
--- a/review/rig2/late.go
+++ b/review/rig2/late.go
@@ -13,19 +13,19 @@
 
 // The sheet's bounds, and the times of the case, from its start. The former backend's last two heartbeats are
 // sent into a partition, the second one when the first has had no answer for a second. What is sent into it
-// is sent again after 0.2, 0.6, 1.4, 3.0, 6.2 and 12.6 s, as TCP does with a first timeout of 0.2 s.
+// is sent again after 1, 3, 7 and 15 s, as TCP does with the shortest first timeout of RFC 6298.
 const (
 	drainTime       = 3 * time.Second
 	beatTime        = 1200 * time.Millisecond
 	warmTime        = 6 * time.Second
 	firstLate       = 50 * time.Millisecond
 	secondLate      = 1060 * time.Millisecond
-	retransmitAfter = 12600 * time.Millisecond
+	retransmitAfter = 15 * time.Second
 	crashAt         = 1500 * time.Millisecond
 	restartAt       = 6500 * time.Millisecond
-	registerAt      = 7600 * time.Millisecond // the partition ended at 7.5 s
-	drainAt         = 7840 * time.Millisecond
-	endAt           = 16 * time.Second
+	registerAt      = 8200 * time.Millisecond  // the partition ended at 8.1 s
+	drainAt         = 12630 * time.Millisecond // more than stableWindow later
+	endAt           = 18 * time.Second
 	lateFlowTime    = 2 * time.Millisecond
 )
 
@@ -136,7 +136,9 @@
 	if _, err := l.site.startBackend("present", l.site.zone(0), "rota-core", sidecarHost); err != nil {
 		return err
 	}
-	l.beat(registerAt, &present)
+	for at := registerAt; at < drainAt; at += beatTime {
+		l.beat(at, &present)
+	}
 	l.drain(&present)
 	return nil
 }
--- a/review/rig2/named.go
+++ b/review/rig2/named.go
@@ -18,8 +18,8 @@
 // requests nextDelay after the start of the balancer.
 const (
 	namedFlows    = 300
-	openPause     = 5 * time.Millisecond
-	calmTime      = 5 * time.Second
+	openPause     = time.Millisecond
+	calmTime      = 500 * time.Millisecond
 	balancerDelay = 650 * time.Millisecond
 	stopDelay     = 250 * time.Millisecond
 	sidecarDelay  = 1600 * time.Millisecond
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -193,19 +193,26 @@
 	}
 }
 
-// startStore starts the stand-in of the platform's store and writes a configuration with routes.
-func (s *site) startStore(routes ...platform.ServiceRoute) error {
+// configuration is the operator's configuration with one route to one service. idle_timeout_ms is that of
+// the examples of the sites.
+const configuration = `{"version":3,"routes":[{"name":"r-1","host":"%s","prefix":"/%d/","kind":"safe","timeout_ms":2000,` +
+	`"target_latency_ms":150,"priority":2,"service":"%s","max_attempts":2}],"services":[{"name":"%[3]s",` +
+	`"health_path":"/health","max_conns":2000,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,` +
+	`"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+// startStore starts the stand-in of the platform's store and writes a configuration with one route.
+func (s *site) startStore(address netip.AddrPort, service string) error {
 	addr := s.addr(storeHost, s.ports.store)
 	if _, err := s.start("store", nil, nil, "target/standins", "store", "--listen", addr); err != nil {
 		return err
 	}
 	client, closeClient := platform.New(slog.New(slog.DiscardHandler), netip.MustParseAddrPort(addr), metrics.NewRegistry())
 	defer closeClient()
+	put := platform.Put{Key: "op/config", Data: fmt.Appendf(nil, configuration, address.Addr(), address.Port(), service)}
 	var err error
 	for range 50 {
 		time.Sleep(50 * time.Millisecond)
-		_, err = client.Write(context.Background(), platform.Transaction{Puts: []platform.Put{platform.EncodeOperatorConfiguration(3, routes...)}})
-		if err == nil {
+		if _, err = client.Write(context.Background(), platform.Transaction{Puts: []platform.Put{put}}); err == nil {
 			return nil
 		}
 	}
